--- a/src/bin/plumbeam-wirehost.rs
+++ b/src/bin/quartzhall-simhost.rs
@@ -2,8 +2,8 @@
 //!
 //! It translates and decides nothing. Bad input ends it with one line on standard error.
 
-use plumbeam::api::*;
-use plumbeam::Router;
+use quartzhall::api::*;
+use quartzhall::Router;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -582,7 +582,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("plumbeam-wirehost: {message}");
+            eprintln!("quartzhall-simhost: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! plumbeam decides for a router of language-model servers that read prompts and write answers in two stages.
+//! quartzhall decides for a router of language-model servers that read prompts and write answers in two stages.
 //!
 //! The caller owns clock, network and threads; it tells a [`Router`] what it hears and does what the router
 //! says.
 //!
 //! ```
-//! use plumbeam::api::*;
-//! use plumbeam::Router;
+//! use quartzhall::api::*;
+//! use quartzhall::Router;
 //!
 //! let class = Class {
 //!     aim: 1_000_000,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small fleet for tests of the module: settings, servers, requests, and shorthand for events.
 #![allow(dead_code)]
 
-use plumbeam::api::*;
-use plumbeam::Router;
+use quartzhall::api::*;
+use quartzhall::Router;
 
 pub const MS: Time = 1_000;
 pub const SECOND: Time = 1_000_000;
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use plumbeam::api::*;
+use quartzhall::api::*;
 
 fn fleet() -> Vec<Entry> {
     let readers = (1..=4).map(|id| server(id, Role::Reader));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use plumbeam::api::*;
-use plumbeam::Router;
+use quartzhall::api::*;
+use quartzhall::Router;
 
 fn pair() -> Vec<Entry> {
     vec![server(1, Role::Reader), server(2, Role::Writer)]
--- a/tests/sizes.rs
+++ b/tests/sizes.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use plumbeam::api::*;
-use plumbeam::Router;
+use quartzhall::api::*;
+use quartzhall::Router;
 
 const PREFIX: u64 = 0xfeed_beef_0001;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -21,7 +21,7 @@
 "#;
 
 fn run(input: &str) -> Output {
-    let mut host = Command::new(env!("CARGO_BIN_EXE_plumbeam-wirehost"))
+    let mut host = Command::new(env!("CARGO_BIN_EXE_quartzhall-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
