Send no second read of a single-shot request while the first is out

Ruled out: writers sent twice (every duplicate in the tap was a read from help()). Fault: src/logic.rs, send() marked reads harmless at once and effect_allows() passed every read.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -162,7 +162,7 @@
     sent: Time,
     work: Counts,
     out: bool,
-    harmless: bool, // it had no effect: reading has none, and some outcomes prove that it never ran
+    harmless: bool, // it ended without effect: reading has none, and some outcomes prove that it never ran
     first_at: Option<Time>,
     checked: bool, // it was found overdue, and what could be done was done
 }
@@ -455,7 +455,7 @@
         let Some(attempt) = request.attempts.get_mut(at).filter(|attempt| attempt.out) else { return };
         attempt.out = false;
         let turned_away = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
-        attempt.harmless |= turned_away || status == Status::Read;
+        attempt.harmless |= turned_away || attempt.stage == Stage::Read;
         let attempt = &request.attempts[at];
         let server = attempt.choice.server;
         if let Some(server) = self.servers.get_mut(&server) {
@@ -757,16 +757,8 @@
         let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, held];
         add(&mut to.own, &work, 1.0);
         to.waiting.insert((id, request.attempts.len()), (sent, choice.predicted));
-        let harmless = stage == Stage::Read;
-        request.attempts.push(Attempt {
-            choice,
-            stage,
-            sent,
-            work,
-            out: true,
-            harmless,
-            ..Attempt::default()
-        });
+        // Not harmless yet, reads neither: while one is out, nothing proves that it had no effect.
+        request.attempts.push(Attempt { choice, stage, sent, work, out: true, ..Attempt::default() });
         self.out.push(Action::Send { id, server, timeout });
         true
     }
@@ -793,7 +785,8 @@
             }
             _ => false,
         };
-        stage == Stage::Read || request.attempts.iter().all(|attempt| attempt.harmless || dropped(attempt))
+        let again = stage == Stage::Read && effect != Effect::Unsafe;
+        again || request.attempts.iter().all(|attempt| attempt.harmless || dropped(attempt))
     }
 
     /// A cold server gets this router's part of what it can take in any span of the rule's length, by what
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -204,3 +204,17 @@
         assert!(sends <= 15, "{sends} of {balancers} routers sent to a cold server within a second");
     }
 }
+
+/// A slow reader makes a safe request go out twice; a single-shot one waits, for nothing proves that the
+/// read that is out had no effect.
+#[test]
+fn no_second_read_of_an_unsafe_request_while_the_first_is_out() {
+    for (effect, copies) in [(Effect::Safe, 1), (Effect::Unsafe, 0)] {
+        let servers = vec![server(1, Role::Reader), server(3, Role::Reader), server(2, Role::Writer)];
+        let mut desk = desk(effect, servers);
+        assert!(sent_to(&desk.ask(ask(1, 1)), 1).is_some());
+        let later = desk.pass(3_900 * MS);
+        let sends = later.iter().filter(|action| matches!(action, Action::Send { id: 1, .. })).count();
+        assert_eq!(sends, copies, "{effect:?}: {later:?}");
+    }
+}
