--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,104 @@
+//! Discovery: the list of members and the watch on it, told to the core as member events.
+//!
+//! The agent may be silent or talk nonsense; both are logged and tried again, and the list held stays valid.
+
+use crate::api::{Entry, State};
+use crate::dispatch::{Door, Event, Member};
+use crate::settings::{MemberLine, MemberList, Site};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use miniserde::json;
+use slog::{debug, warn, Logger};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a watch waits for something new.
+const HOLD: Duration = Duration::from_secs(10);
+/// An agent that has not answered so long after it should have is silent: the call is made again.
+const LATE: Duration = Duration::from_millis(1500);
+/// Between a failed call and the next.
+const RETRY: Duration = Duration::from_millis(100);
+/// A list is not read beyond this.
+const LONGEST: usize = 4 * 1024 * 1024;
+
+/// A member's line in the core's terms; an error where a word of it is not known.
+pub fn member(site: &mut Site, line: &MemberLine) -> Result<Member, String> {
+    let state = match line.phase.as_str() {
+        "Ready" => State::Ready,
+        "Terminating" => State::Draining,
+        "Gone" => State::Gone,
+        other => return Err(format!("unknown phase {other:?}")),
+    };
+    line.host_port.parse::<std::net::SocketAddr>().map_err(|_| "an address that is none")?;
+    let zone = site.zone(line.locality.as_deref());
+    let started = line.up_since_ms.filter(|at| *at > 0.0).map(|ms| (ms * 1000.0) as u64);
+    let entry = site.entry(0, &line.id, line.flavor.as_deref())?;
+    let entry = Entry { zone, cell: line.cell.unwrap_or(u32::MAX), state, started, ..entry };
+    Ok(Member { name: line.id.as_str().into(), address: line.host_port.as_str().into(), entry })
+}
+
+/// A list in the core's terms. A line that makes no sense is logged and left out.
+pub fn members(site: &mut Site, list: &MemberList, log: &Logger) -> Event {
+    let mut members = Vec::new();
+    for line in &list.members {
+        match member(site, line) {
+            Ok(member) => members.push(member),
+            Err(error) => warn!(log, "a member makes no sense"; "member" => &line.id, "error" => error),
+        }
+    }
+    Event::Members { complete: list.complete, members }
+}
+
+/// Reads a list as discovery writes it.
+pub fn parse(text: &[u8]) -> Result<MemberList, String> {
+    let text = std::str::from_utf8(text).map_err(|_| "not UTF-8")?;
+    json::from_str(text).map_err(|_| "not a list of members".to_owned())
+}
+
+/// Watches discovery for as long as the dispatcher runs.
+pub async fn run(address: String, mut site: Site, door: Door, log: Logger) {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(500)));
+    let client: Client<HttpConnector, Empty<Bytes>> =
+        Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+    let mut revision: Option<u64> = None;
+    loop {
+        let (target, patience) = match revision {
+            None => ("/v1/endpoints".to_owned(), LATE),
+            Some(from) => (format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()), HOLD + LATE),
+        };
+        let call = async {
+            let request = Request::get(format!("http://{address}{target}")).body(Empty::new());
+            let response = client.request(request.map_err(|it| it.to_string())?).await;
+            let response = response.map_err(|error| error.to_string())?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), LONGEST).collect().await;
+            let body = body.map_err(|error| error.to_string())?.to_bytes();
+            if status != StatusCode::OK {
+                return Err(format!("status {status}"));
+            }
+            parse(&body)
+        };
+        match timeout(patience, call).await.unwrap_or_else(|_| Err("no answer in time".into())) {
+            Ok(list) => {
+                debug!(log, "a list"; "revision" => list.revision, "complete" => list.complete,
+                    "members" => list.members.len());
+                let same = revision == Some(list.revision) && list.members.is_empty() && !list.complete;
+                revision = Some(list.revision);
+                if !same {
+                    door.tell(members(&mut site, &list, &log)).await;
+                }
+            }
+            Err(error) => {
+                warn!(log, "discovery failed"; "error" => error);
+                door.tell(Event::ListFailed).await;
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,717 @@
+//! The core: it owns the [`Router`], the request table, the clock and the timers, and knows no wire.
+//!
+//! [`Core`] is a plain state machine: events in, commands out. [`run`] is the one task that owns it; all else
+//! reaches it through the bounded queue behind a [`Door`]. Here the rules are kept whatever the module says:
+//! one final answer for each request, deadlines, attempt numbers, and the release of what is held.
+
+use crate::api::{self, Action, Ask, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
+use crate::Router;
+use bytes::Bytes;
+use slog::{debug, info, warn, Logger};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+
+/// Events that may wait for the core; senders wait when it is full.
+const QUEUE: usize = 4096;
+/// The core looks over its table this often while there are requests in it.
+const SWEEP: Time = 20_000;
+/// A state that nobody asks for is let go after this part (in tenths) of the time in which it must be ...
+const STRAY_TENTHS: Time = 4;
+/// ... and one that the module knows of, which lets it go sooner by itself, after this part.
+const KNOWN_TENTHS: Time = 9;
+
+/// What a node is to be given: the client's own request, kept once.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The name by which the client, and so every node, knows the request.
+    pub name: Arc<str>,
+    /// What is asked for: the client's own path and query.
+    pub target: Arc<str>,
+    /// The request's body.
+    pub body: Bytes,
+}
+
+/// A piece of an answer's stream. Where the channel closes without `End`, the stream has broken.
+#[derive(Debug, PartialEq)]
+pub enum Piece {
+    /// Some of its bytes, as they came.
+    Data(Bytes),
+    /// Its good end.
+    End,
+}
+
+/// The final answer to a request; there is one for each.
+#[derive(Debug)]
+pub enum Answer {
+    /// A node's stream, from its first event on.
+    Served(mpsc::Receiver<Piece>),
+    /// Nothing was done; trying again is harmless, after this time.
+    Refused(Duration),
+    /// Failed, and nothing is promised about its effect.
+    Failed,
+    /// A request of this name is in flight.
+    Duplicate,
+}
+
+/// A member of the fleet, as discovery tells of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its name, the same at every dispatcher.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// What the module is told; the core sets its number.
+    pub entry: Entry,
+}
+
+/// What the core hears.
+#[derive(Debug)]
+pub enum Event {
+    /// A client's request.
+    Request {
+        /// What the module is told, with the number that the door gave.
+        ask: Ask,
+        /// What nodes are told.
+        work: Work,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The client has left, or the request's ticket was let go after its end.
+    Gone(RequestId),
+    /// An attempt's answer has begun.
+    First {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// Its stream.
+        stream: mpsc::Receiver<Piece>,
+    },
+    /// An attempt has ended; each ends once.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// How.
+        status: Status,
+        /// Tokens found kept, or 1 with `Full` where no state was there.
+        note: f64,
+        /// The node's load, where it was told.
+        load: Option<Load>,
+    },
+    /// What was held for a request has been let go, or could not be.
+    Released(RequestId),
+    /// A probe's answer.
+    Probed {
+        /// The node.
+        server: ServerId,
+        /// It answered.
+        ok: bool,
+        /// Its load, where it was told.
+        load: Option<Load>,
+    },
+    /// The list of members, whole or what changed in it.
+    Members {
+        /// Members that are absent are gone.
+        complete: bool,
+        /// The members.
+        members: Vec<Member>,
+    },
+    /// A call for the list failed.
+    ListFailed,
+    /// The dispatcher is to end: it takes no more from balancers, and serves what still comes.
+    Drain,
+}
+
+/// What the core has done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// The node's address.
+        address: Arc<str>,
+        /// What it is given.
+        work: Work,
+        /// How long the first event is waited for.
+        timeout: Duration,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+    },
+    /// Let go of what is held for a request, at the first of these nodes that can be reached.
+    Release {
+        /// The request.
+        id: RequestId,
+        /// Its name.
+        name: Arc<str>,
+        /// Where it may be told, best first.
+        addresses: Vec<Arc<str>>,
+    },
+    /// Ask a node for its load.
+    Probe {
+        /// The node.
+        server: ServerId,
+        /// Its address.
+        address: Arc<str>,
+    },
+    /// Nothing new may go to this address any more, not even what waits for a connection; or it may again.
+    Bar {
+        /// The address.
+        address: Arc<str>,
+        /// Whether it is barred.
+        barred: bool,
+    },
+}
+
+/// What balancers in front are told; the fronts only render it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// Nothing could be served yet: no reader or no writer is known.
+    Starting,
+    /// Able to serve.
+    Ready,
+    /// About to end; still serving.
+    Draining,
+}
+
+/// The way in for socket code: cheap to clone.
+#[derive(Clone)]
+pub struct Door {
+    events: mpsc::Sender<Event>,
+    next: Arc<AtomicU64>,
+    readiness: watch::Receiver<Readiness>,
+    open: watch::Receiver<usize>,
+}
+
+/// A client's hold on its request: letting it go tells the core that the client has left.
+pub struct Ticket {
+    id: RequestId,
+    door: Door,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.door.post(Event::Gone(self.id));
+    }
+}
+
+impl Door {
+    /// Takes a request in; its answer comes on the channel.
+    pub async fn ask(&self, ask: Ask, work: Work) -> (Ticket, oneshot::Receiver<Answer>) {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        // The ticket comes first: a client that leaves while the queue is full is told of all the same.
+        let event = Event::Request { ask: Ask { id, ..ask }, work, answer };
+        let _ = self.events.send(event).await;
+        (Ticket { id, door: self.clone() }, answered)
+    }
+
+    /// Tells the core; waits while the queue is full.
+    pub async fn tell(&self, event: Event) {
+        let _ = self.events.send(event).await;
+    }
+
+    /// Tells the core from where nothing can wait. A full queue loses nothing: a task waits instead.
+    pub fn post(&self, event: Event) {
+        if let Err(mpsc::error::TrySendError::Full(event)) = self.events.try_send(event) {
+            let events = self.events.clone();
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { events.send(event).await });
+            }
+        }
+    }
+
+    /// The state that balancers in front are told.
+    pub fn readiness(&self) -> Readiness {
+        *self.readiness.borrow()
+    }
+
+    /// Waits until the core's state is the given one.
+    pub async fn becomes(&self, readiness: Readiness) {
+        let mut watched = self.readiness.clone();
+        let _ = watched.wait_for(|now| *now == readiness).await;
+    }
+
+    /// Requests in the core's table, with those whose states are being let go.
+    pub fn open(&self) -> usize {
+        *self.open.borrow()
+    }
+
+    /// Waits until the core's table is empty.
+    pub async fn empty(&self) {
+        let mut watched = self.open.clone();
+        let _ = watched.wait_for(|open| *open == 0).await;
+    }
+}
+
+struct Attempt {
+    server: ServerId,
+    out: bool,
+}
+
+/// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
+struct Held {
+    work: Work,
+    answer: Option<oneshot::Sender<Answer>>,
+    deadline: Time,
+    attempts: Vec<Attempt>,
+    closed: bool,
+    begun: Option<u32>,
+    known: bool, // the module knows of a state that waits
+    stray: bool, // a state may be left that the module does not know of
+    idle_since: Time,
+    releasing: bool,
+}
+
+impl Held {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
+}
+
+struct Node {
+    address: Arc<str>,
+    role: Role,
+    state: State,
+}
+
+/// The state machine. Its caller gives it the time with each event and does what it commands.
+pub struct Core {
+    router: Router,
+    release_within: Time,
+    most_held: usize,
+    numbers: HashMap<Arc<str>, ServerId>,
+    nodes: BTreeMap<ServerId, Node>,
+    requests: BTreeMap<RequestId, Held>,
+    names: HashSet<Arc<str>>,
+    timers: BinaryHeap<Reverse<Time>>,
+    next_sweep: Time,
+    draining: bool,
+    commands: Vec<Command>,
+    log: Logger,
+}
+
+impl Core {
+    /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
+    pub fn new(settings: api::Settings, most_held: usize, seed: u64, now: Time, log: Logger) -> Self {
+        let release_within = settings.release_within;
+        let mut core = Core {
+            router: Router::new(settings, seed, now),
+            release_within,
+            most_held,
+            numbers: HashMap::new(),
+            nodes: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            names: HashSet::new(),
+            timers: BinaryHeap::new(),
+            next_sweep: now,
+            draining: false,
+            commands: Vec::new(),
+            log,
+        };
+        core.step(now, api::Event::Wake);
+        core
+    }
+
+    /// Hears one event.
+    pub fn hear(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Request { ask, work, answer } => self.request(now, ask, work, answer),
+            Event::Gone(id) => self.gone(now, id),
+            Event::First { id, attempt, stream } => self.first(now, id, attempt, stream),
+            Event::Ended { id, attempt, status, note, load } => {
+                self.ended(now, id, attempt, status, note, load)
+            }
+            Event::Released(id) => {
+                if let Some(held) = self.requests.get_mut(&id) {
+                    held.releasing = false;
+                    held.idle_since = now;
+                }
+                self.settle(now, id);
+            }
+            Event::Probed { server, ok, load } => self.step(now, api::Event::Probed { server, ok, load }),
+            Event::Members { complete, members } => self.members(now, complete, members),
+            Event::ListFailed => self.step(now, api::Event::ListFailed),
+            Event::Drain => self.draining = true,
+        }
+    }
+
+    /// Does what is due: the module's timers, and what the table says.
+    pub fn wake(&mut self, now: Time) {
+        while self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+            self.timers.pop();
+            self.step(now, api::Event::Wake);
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+            for id in ids {
+                self.sweep(now, id);
+            }
+        }
+    }
+
+    /// When [`Core::wake`] is to be called next.
+    pub fn due(&self) -> Option<Time> {
+        let timer = self.timers.peek().map(|Reverse(at)| *at);
+        let sweep = (!self.requests.is_empty()).then_some(self.next_sweep);
+        timer.into_iter().chain(sweep).min()
+    }
+
+    /// What is to be done, in order.
+    pub fn commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Requests in the table.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The state for balancers in front.
+    pub fn readiness(&self) -> Readiness {
+        let able = |spared| self.nodes.values().any(|it| it.state == State::Ready && it.role != spared);
+        match (self.draining, able(Role::Writer) && able(Role::Reader)) {
+            (true, _) => Readiness::Draining,
+            (false, true) => Readiness::Ready,
+            (false, false) => Readiness::Starting,
+        }
+    }
+
+    fn request(&mut self, now: Time, ask: Ask, work: Work, answer: oneshot::Sender<Answer>) {
+        let id = ask.id;
+        // An id that is in flight is never a second request: nodes know requests by it alone.
+        if self.names.contains(&work.name) {
+            let _ = answer.send(Answer::Duplicate);
+            return;
+        }
+        // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
+        if self.requests.len() >= self.most_held {
+            let _ = answer.send(Answer::Refused(Duration::from_millis(500)));
+            return;
+        }
+        self.names.insert(work.name.clone());
+        let held = Held {
+            work,
+            answer: Some(answer),
+            deadline: now.saturating_add(ask.expires_in),
+            attempts: Vec::new(),
+            closed: false,
+            begun: None,
+            known: false,
+            stray: false,
+            idle_since: now,
+            releasing: false,
+        };
+        self.requests.insert(id, held);
+        self.step(now, api::Event::Request(ask));
+    }
+
+    fn gone(&mut self, now: Time, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        if let Some(attempt) = held.begun.filter(|at| held.attempts[*at as usize].out) {
+            // Its stream has nobody left to read it.
+            self.commands.push(Command::Cancel { id, attempt });
+        }
+        if !std::mem::replace(&mut held.closed, true) {
+            held.answer = None;
+            self.step(now, api::Event::Gone { id });
+        }
+        self.settle(now, id);
+    }
+
+    fn first(&mut self, now: Time, id: RequestId, attempt: u32, stream: mpsc::Receiver<Piece>) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let out = held.attempts.get(attempt as usize).is_some_and(|it| it.out);
+        // Dropping the stream of an attempt that came too late ends it at its node.
+        if held.closed || held.begun.is_some() || !out {
+            return;
+        }
+        let Some(answer) = held.answer.take() else { return };
+        if answer.send(Answer::Served(stream)).is_err() {
+            // The client left at this moment; its ticket tells so.
+            return;
+        }
+        // With the first event all else that nodes hold for the request goes by itself.
+        (held.begun, held.known, held.stray) = (Some(attempt), false, false);
+        self.step(now, api::Event::First { id, attempt });
+    }
+
+    fn ended(
+        &mut self, now: Time, id: RequestId, attempt: u32, status: Status, note: f64, load: Option<Load>,
+    ) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let Some(ended) = held.attempts.get_mut(attempt as usize).filter(|it| it.out) else { return };
+        ended.out = false;
+        let server = ended.server;
+        held.idle_since = now;
+        if held.begun == Some(attempt) {
+            held.closed = true; // by its good end, or by its break
+        }
+        let reads = self.nodes.get(&server).is_none_or(|node| node.role != Role::Writer);
+        match status {
+            Status::Read => held.known = true,
+            // The read may have ended well at the moment its connection broke or was closed.
+            Status::Cancelled | Status::Reset | Status::Timeout | Status::Error if reads => held.stray = true,
+            Status::Full if note > 0.0 => held.known = false,
+            _ => {}
+        }
+        let closed = held.closed;
+        debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
+            "status" => ?status, "note" => note, "closed" => closed);
+        self.step(now, api::Event::Outcome { id, attempt, server, status, closed, note, load });
+        self.settle(now, id);
+    }
+
+    fn members(&mut self, now: Time, complete: bool, members: Vec<Member>) {
+        let mut entries = Vec::new();
+        let mut named = HashSet::new();
+        for Member { name, address, mut entry } in members {
+            let next = self.numbers.len() as ServerId;
+            let server = *self.numbers.entry(name).or_insert(next);
+            named.insert(server);
+            entry.server = server;
+            let node = Node { address: address.clone(), role: entry.role, state: entry.state };
+            let barred = entry.state != State::Ready;
+            let before = self.nodes.insert(server, node);
+            if before.as_ref().is_some_and(|it| it.address != address) {
+                debug!(self.log, "a node has moved"; "server" => server, "address" => %address);
+            }
+            if before.is_none_or(|it| it.state != entry.state || it.address != address) {
+                debug!(self.log, "a node's state"; "server" => server, "address" => %address,
+                    "role" => ?entry.role, "state" => ?entry.state, "started" => ?entry.started);
+                self.commands.push(Command::Bar { address, barred });
+            }
+            entries.push(entry);
+        }
+        if complete {
+            for (_, node) in self.nodes.iter_mut().filter(|(server, _)| !named.contains(server)) {
+                if node.state != State::Gone {
+                    node.state = State::Gone;
+                    self.commands.push(Command::Bar { address: node.address.clone(), barred: true });
+                }
+            }
+        }
+        // A node that took over an address must not inherit the bar of the one that left it.
+        for node in self.nodes.values().filter(|node| node.state == State::Ready) {
+            self.commands.push(Command::Bar { address: node.address.clone(), barred: false });
+        }
+        self.step(now, api::Event::Members { complete, entries });
+    }
+
+    /// Tells the module one event and does what it says.
+    fn step(&mut self, now: Time, event: api::Event) {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+                Action::Cancel { id, attempt } => {
+                    let held = self.requests.get(&id);
+                    // A stream that has begun belongs to the client and is not withdrawn.
+                    let open = held.is_some_and(|held| {
+                        held.begun != Some(attempt)
+                            && held.attempts.get(attempt as usize).is_some_and(|it| it.out)
+                    });
+                    if open {
+                        self.commands.push(Command::Cancel { id, attempt });
+                    }
+                }
+                Action::Refuse { id, retry_after } => {
+                    self.close(id, Answer::Refused(Duration::from_micros(retry_after)));
+                    self.settle(now, id);
+                }
+                Action::Fail { id } => {
+                    self.close(id, Answer::Failed);
+                    self.settle(now, id);
+                }
+                Action::Release { id } => {
+                    if let Some(held) = self.requests.get_mut(&id) {
+                        (held.known, held.stray) = (false, true);
+                    }
+                    self.settle(now, id);
+                }
+                Action::Wake { at } => self.timers.push(Reverse(at)),
+                Action::Probe { server } => {
+                    let address = self.nodes.get(&server).map(|node| node.address.clone());
+                    match address {
+                        Some(address) => self.commands.push(Command::Probe { server, address }),
+                        None => warn!(self.log, "a probe of an unknown node"; "server" => server),
+                    }
+                }
+                // Discovery is always watched.
+                Action::Watch => {}
+            }
+        }
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, server: ServerId, timeout: Time) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let attempt = held.attempts.len() as u32;
+        let node = self.nodes.get(&server).filter(|node| node.state == State::Ready);
+        let live = !held.closed && held.begun.is_none() && now < held.deadline;
+        held.attempts.push(Attempt { server, out: true });
+        let Some(node) = node.filter(|_| live) else {
+            // What the rules forbid is not sent, whoever asks for it.
+            warn!(self.log, "a send that the rules forbid"; "id" => id, "server" => server);
+            let (status, note, load) = (Status::Moot, 0.0, None);
+            return self.ended(now, id, attempt, status, note, load);
+        };
+        let timeout = if timeout == 0 { Time::MAX } else { timeout }.min(held.deadline - now);
+        debug!(self.log, "send"; "id" => id, "attempt" => attempt, "server" => server);
+        self.commands.push(Command::Send {
+            id,
+            attempt,
+            address: node.address.clone(),
+            work: held.work.clone(),
+            timeout: Duration::from_micros(timeout),
+        });
+    }
+
+    /// The one place for final answers but streams.
+    fn close(&mut self, id: RequestId, answer: Answer) {
+        let Some(held) = self.requests.get_mut(&id).filter(|held| !held.closed && held.begun.is_none())
+        else {
+            return;
+        };
+        held.closed = true;
+        debug!(self.log, "closed"; "id" => id, "answer" => ?answer);
+        if let Some(waiting) = held.answer.take() {
+            let _ = waiting.send(answer);
+        }
+    }
+
+    /// Looks after one request: its deadline, and what was held for too long.
+    fn sweep(&mut self, now: Time, id: RequestId) {
+        let Some(held) = self.requests.get(&id) else { return };
+        if !held.closed && held.begun.is_none() && now >= held.deadline {
+            // The module ends requests in time by itself; this guards the client against a mistake there.
+            warn!(self.log, "a deadline passed without an answer"; "id" => id);
+            self.close(id, Answer::Failed);
+            self.step(now, api::Event::Gone { id });
+        }
+        self.settle(now, id);
+    }
+
+    /// Lets go of what is held where nothing needs it, and forgets the request when all of it is over.
+    fn settle(&mut self, now: Time, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let idle = now.saturating_sub(held.idle_since);
+        let limit = |tenths: Time| self.release_within * tenths / 10;
+        let late = held.stray && !held.known && idle >= limit(STRAY_TENTHS) || idle >= limit(KNOWN_TENTHS);
+        // While an attempt waits for the state, nothing may let go of it; a stream needs it no more.
+        let free = held.begun.is_some() || !held.out();
+        let unwanted = held.closed || held.begun.is_some() || late;
+        if (held.known || held.stray) && free && unwanted && !held.releasing {
+            (held.known, held.stray, held.releasing) = (false, false, true);
+            // Any node passes it on; those that had an attempt come first, for they are likely to be up.
+            let tried = held.attempts.iter().filter_map(|attempt| self.nodes.get(&attempt.server));
+            let rest = self.nodes.values().filter(|node| node.state == State::Ready);
+            let mut addresses: Vec<Arc<str>> = Vec::new();
+            for node in tried.chain(rest).filter(|node| node.state != State::Gone) {
+                if !addresses.contains(&node.address) {
+                    addresses.push(node.address.clone());
+                }
+            }
+            let name = held.work.name.clone();
+            self.commands.push(Command::Release { id, name, addresses });
+        }
+        if held.closed && !held.out() && !held.releasing {
+            if let Some(held) = self.requests.remove(&id) {
+                self.names.remove(&held.work.name);
+            }
+        }
+    }
+}
+
+/// Unix time in microseconds, from one reading of the system's clock and a clock that never jumps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: Time,
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Clock { unix: unix.map_or(0, |unix| unix.as_micros() as Time), start: Instant::now() }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Time {
+        self.unix + self.start.elapsed().as_micros() as Time
+    }
+
+    fn instant(&self, at: Time) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+}
+
+/// The way in and what it leads to, for [`run`].
+pub struct Inbox {
+    events: mpsc::Receiver<Event>,
+    readiness: watch::Sender<Readiness>,
+    open: watch::Sender<usize>,
+}
+
+/// Makes the queue of a core.
+pub fn door() -> (Door, Inbox) {
+    let (events, queue) = mpsc::channel(QUEUE);
+    let (set_readiness, readiness) = watch::channel(Readiness::Starting);
+    let (set_open, open) = watch::channel(0);
+    let door = Door { events, next: Arc::new(AtomicU64::new(1)), readiness, open };
+    (door, Inbox { events: queue, readiness: set_readiness, open: set_open })
+}
+
+/// The task that owns the core: it ends when every door is gone.
+pub async fn run(mut core: Core, clock: Clock, mut inbox: Inbox, commands: mpsc::Sender<Command>) {
+    loop {
+        let due = core.due().map(|at| clock.instant(at));
+        let sleep = async {
+            match due {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            event = inbox.events.recv() => match event {
+                Some(event) => core.hear(clock.now(), event),
+                None => break,
+            },
+            () = sleep => {}
+        }
+        // Everything that has come in by now is one batch, heard in the order in which it came.
+        let now = clock.now();
+        while let Ok(event) = inbox.events.try_recv() {
+            core.hear(now, event);
+        }
+        core.wake(now);
+        for command in core.commands() {
+            if commands.send(command).await.is_err() {
+                return;
+            }
+        }
+        let ready = core.readiness();
+        if inbox.readiness.send_if_modified(|old| std::mem::replace(old, ready) != ready) {
+            info!(core.log, "readiness"; "state" => ?ready);
+        }
+        let open = core.open();
+        inbox.open.send_if_modified(|old| std::mem::replace(old, open) != open);
+    }
+}
--- /dev/null
+++ b/src/fronts/mod.rs
@@ -0,0 +1,3 @@
+//! The fronts: each turns its wire into core requests and core answers into its wire, and decides nothing.
+
+pub mod platform;
--- /dev/null
+++ b/src/fronts/platform.rs
@@ -0,0 +1,250 @@
+//! The platform's HTTP/1.1: a thin front on axum.
+
+use crate::api::Ask;
+use crate::dispatch::{Answer, Door, Piece, Readiness, Ticket, Work};
+use crate::settings::{hash, micros, Site};
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{header, HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::Router;
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use slog::{debug, info, warn, Logger};
+use std::io;
+use std::pin::{pin, Pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+/// A request's body may have so many bytes.
+pub const MOST_BODY: usize = 256 * 1024;
+/// A client that takes longer over a request's head, or lets a connection stand idle longer, is cut off.
+const HEAD_TIME: Duration = Duration::from_secs(90);
+/// A connection's read buffer: a head must fit.
+const BUFFER: usize = 16 * 1024;
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct Shared {
+    door: Door,
+    site: Arc<Site>,
+    /// Kilobytes of bodies that may be held at once.
+    bodies: Arc<Semaphore>,
+    log: Logger,
+}
+
+/// The front's routes. `body_kb` bounds the bodies that are held at once.
+pub fn routes(door: Door, site: Arc<Site>, body_kb: usize, log: Logger) -> Router {
+    let shared = Shared { door, site, bodies: Arc::new(Semaphore::new(body_kb)), log };
+    Router::new().route("/v1/chat/completions", post(complete)).route("/ready", get(ready)).with_state(shared)
+}
+
+async fn ready(State(shared): State<Shared>) -> (StatusCode, &'static str) {
+    match shared.door.readiness() {
+        Readiness::Ready => (StatusCode::OK, "ready\n"),
+        Readiness::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        Readiness::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+    }
+}
+
+/// A session's or a text's key: 16 hexadecimal digits, and any other word by its hash.
+pub fn key(word: &str) -> u64 {
+    u64::from_str_radix(word, 16).unwrap_or_else(|_| hash(word))
+}
+
+/// A name that may stand in a node's path as it is.
+pub fn is_name(name: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
+    (1..=128).contains(&name.len()) && name.bytes().all(plain) && !name.bytes().all(|it| it == b'.')
+}
+
+/// Reads `X-Props`: lengths in tokens, and the shared text where there is one.
+pub fn parse_props(text: &str, ask: &mut Ask) -> Result<(), String> {
+    let (mut prompt, mut most) = (None, None);
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=').ok_or("X-Props is not a list of pairs")?;
+        let (name, value) = (name.trim(), value.trim());
+        let tokens = || {
+            let tokens = value.parse::<u32>().map_err(|_| format!("{name} is not a number of tokens"));
+            tokens.map(f64::from)
+        };
+        match name {
+            "prefix" => ask.prefix = Some(key(value)),
+            "prompt_len" => prompt = Some(tokens()?),
+            "prefix_len" => ask.prefix_tokens = tokens()?,
+            "max_out" => most = Some(tokens()?),
+            _ => {}
+        }
+    }
+    ask.prompt = prompt.ok_or("X-Props lacks prompt_len")?;
+    ask.max_tokens = most.ok_or("X-Props lacks max_out")?;
+    Ok(())
+}
+
+/// Reads a request's head: its name and what the module is told.
+pub fn parse_head(headers: &HeaderMap, site: &Site) -> Result<(Arc<str>, Ask), String> {
+    let text = |name: &str| {
+        let value = headers.get(name).ok_or_else(|| format!("{name} is missing"))?;
+        value.to_str().map_err(|_| format!("{name} is not plain text"))
+    };
+    let name = text("x-trace-id")?;
+    if !is_name(name) {
+        return Err("X-Trace-Id is not a plain name".into());
+    }
+    let mut ask = Ask { session: Some(key(text("x-object")?)), ..Ask::default() };
+    let class = text("x-qos")?;
+    ask.class = site.classes.known(class).ok_or_else(|| format!("unknown class {class:?}"))? as usize;
+    if !site.settings.tenants.is_empty() {
+        let tenant = text("x-customer")?;
+        let number = site.tenants.known(tenant).ok_or_else(|| format!("unknown tenant {tenant:?}"))?;
+        ask.tenant = Some(number as usize);
+    }
+    let expires: u32 = text("x-expires-in-ms")?.parse().map_err(|_| "X-Expires-In-Ms is not a number")?;
+    ask.expires_in = micros(f64::from(expires));
+    parse_props(text("x-props")?, &mut ask)?;
+    Ok((name.into(), ask))
+}
+
+fn says(status: StatusCode, text: impl Into<String>) -> Response {
+    (status, text.into() + "\n").into_response()
+}
+
+async fn complete(State(shared): State<Shared>, request: Request) -> Response {
+    let came = Instant::now();
+    let (head, body) = request.into_parts();
+    let (name, mut ask) = match parse_head(&head.headers, &shared.site) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            debug!(shared.log, "a bad request"; "error" => &error);
+            return says(StatusCode::BAD_REQUEST, error);
+        }
+    };
+    let length = http_body::Body::size_hint(&body).exact().unwrap_or(MOST_BODY as u64);
+    if length > MOST_BODY as u64 {
+        return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
+    }
+    let kb = (length / 1024 + 1) as u32;
+    let Ok(_room) = shared.bodies.acquire_many(kb).await else {
+        return says(StatusCode::INTERNAL_SERVER_ERROR, "no room");
+    };
+    let body = match Limited::new(body, MOST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
+        }
+        Err(_) => return says(StatusCode::BAD_REQUEST, "the body is not whole"),
+    };
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let work = Work { name, target: target.into(), body };
+    ask.expires_in = ask.expires_in.saturating_sub(came.elapsed().as_micros() as u64);
+    let (ticket, answered) = shared.door.ask(ask, work).await;
+    match answered.await {
+        Ok(Answer::Served(pieces)) => {
+            let body = Body::new(Pieces { pieces, ended: false, _ticket: ticket });
+            ([(header::CONTENT_TYPE, "text/event-stream"), (header::CACHE_CONTROL, "no-cache")], body)
+                .into_response()
+        }
+        Ok(Answer::Refused(after)) => {
+            let after = format!("{:.3}", after.as_secs_f64());
+            (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, after)], "refused\n").into_response()
+        }
+        Ok(Answer::Failed) => says(StatusCode::BAD_GATEWAY, "failed"),
+        Ok(Answer::Duplicate) => says(StatusCode::CONFLICT, "a request of this id is in flight"),
+        Err(_) => says(StatusCode::INTERNAL_SERVER_ERROR, "no answer"),
+    }
+}
+
+/// A stream on its way to the client. Its ticket tells the core when the client has left.
+struct Pieces {
+    pieces: mpsc::Receiver<Piece>,
+    ended: bool,
+    _ticket: Ticket,
+}
+
+impl http_body::Body for Pieces {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match self.pieces.poll_recv(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Piece::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Piece::End)) => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            // The stream broke: an error makes the server close without the last chunk.
+            Poll::Ready(None) => Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into()))),
+        }
+    }
+}
+
+/// Serves clients until `stop` turns true; then no more connections are taken, those that are idle are
+/// closed, and it returns when all are over. `most` is the most connections at once.
+pub async fn serve(
+    listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
+) {
+    let places = Arc::new(Semaphore::new(most));
+    let mut connections = JoinSet::new();
+    let mut pause = Duration::from_millis(5);
+    let mut stopping = stop.clone();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let accepted = tokio::select! {
+            biased;
+            _ = stopping.wait_for(|stop| *stop) => break,
+            accepted = async {
+                // At the limit, new connections wait in the listener's queue: none is dropped.
+                let place = places.clone().acquire_owned().await;
+                (listener.accept().await, place)
+            } => accepted,
+        };
+        let (stream, place) = match accepted {
+            (Ok((stream, _)), Ok(place)) => (stream, place),
+            (Err(error), _) => {
+                // Out of descriptors, or the client was too quick: trying at once would spin.
+                warn!(log, "accept failed"; "error" => %error);
+                sleep(pause).await;
+                pause = (pause * 2).min(Duration::from_millis(200));
+                continue;
+            }
+            (_, Err(_)) => break,
+        };
+        pause = Duration::from_millis(5);
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(routes.clone());
+        let mut stop = stop.clone();
+        connections.spawn(async move {
+            let mut http = hyper::server::conn::http1::Builder::new();
+            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(BUFFER);
+            let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
+            let ended = tokio::select! {
+                ended = connection.as_mut() => Some(ended),
+                _ = stop.wait_for(|stop| *stop) => None,
+            };
+            if ended.is_none() {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+            drop(place);
+        });
+    }
+    drop(listener);
+    info!(log, "no more connections are taken"; "open" => connections.len());
+    let _ = stop.wait_for(|stop| *stop).await;
+    while connections.join_next().await.is_some() {}
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,11 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod discovery;
+pub mod dispatch;
+pub mod fronts;
 mod logic;
+pub mod nodes;
+pub mod settings;
 
 pub use logic::Router;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,343 @@
+//! The deployment's settings: from JSON to the module's [`Settings`] and to the numbers for its names.
+//!
+//! The adapter and the dispatcher share all of it. A field that is absent has its zero; a word that is not
+//! known is an error, for a guess would decide something.
+
+use crate::api::*;
+use miniserde::{json, Deserialize};
+use std::collections::HashMap;
+
+/// The settings object, as it comes.
+#[derive(Deserialize, Default)]
+pub struct Profile {
+    balancers: Option<u32>,
+    classes: Option<Vec<ClassLine>>,
+    dcs: Option<Vec<String>>,
+    deductions: Option<Deductions>,
+    family_info: Option<Family>,
+    limits: Option<Limits>,
+    machine_types: Option<Vec<String>>,
+    membership_mode: Option<String>,
+    over_share_worth: Option<f64>,
+    reporting: Option<Reporting>,
+    rules: Option<Rules>,
+    tenants: Option<Vec<TenantLine>>,
+    tick: Option<f64>,
+    zone: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ClassLine {
+    name: String,
+    aim: Option<f64>,
+    group: Option<String>,
+    key_ttl: Option<f64>,
+    repeat: Option<String>,
+    worth: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct TenantLine {
+    name: String,
+    quota_per_s: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+struct Deductions {
+    cross_zone: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+struct Family {
+    aim_us_per_1000_prompt_tokens: Option<Vec<f64>>,
+    move_fee: Option<f64>,
+    release_within: Option<f64>,
+    role_by_kind: Option<Vec<String>>,
+    token_aim: Option<Vec<f64>>,
+    tokens_by_kind: Option<Vec<f64>>,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    cancel: Option<bool>,
+    conn_idle: Option<f64>,
+    dial_timeout: Option<f64>,
+    max_retry_after: Option<f64>,
+    may_probe: Option<bool>,
+    most_held: Option<u64>,
+    most_tries: Option<u32>,
+    retry_after: Option<bool>,
+    second_copies: Option<bool>,
+}
+
+#[derive(Deserialize, Default)]
+struct Reporting {
+    via: Option<String>,
+}
+
+#[derive(Deserialize, Default)]
+struct Rules {
+    answer_slack: Option<f64>,
+    cold_from: Option<f64>,
+    drain_grace: Option<f64>,
+    fall: Option<f64>,
+    tip_multiple: Option<f64>,
+    warm_within: Option<f64>,
+}
+
+/// Names and numbers of one sort, in the order in which they were met.
+#[derive(Clone, Default)]
+pub struct Names {
+    by_name: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    fn new<'a>(names: impl Iterator<Item = &'a String>) -> Self {
+        let mut all = Names::default();
+        for name in names {
+            all.number(name);
+        }
+        all
+    }
+
+    /// The number of a name, which is new where it was not known.
+    pub fn number(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.by_name.get(name) {
+            return *number;
+        }
+        let number = self.names.len() as u32;
+        self.by_name.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+
+    /// The number of a name that was met before.
+    pub fn known(&self, name: &str) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The name with this number.
+    pub fn name(&self, number: u32) -> &str {
+        self.names.get(number as usize).map_or("", String::as_str)
+    }
+}
+
+/// The FNV-1a hash of a name: the same at every dispatcher.
+pub fn hash(name: &str) -> u64 {
+    let next = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, next)
+}
+
+/// Microseconds of a time in milliseconds.
+pub fn micros(ms: f64) -> Time {
+    (ms * 1000.0).round().max(0.0) as Time
+}
+
+fn span(ms: Option<f64>) -> Time {
+    micros(ms.unwrap_or(0.0))
+}
+
+fn role(word: &String) -> Result<Role, String> {
+    match word.as_str() {
+        "read" => Ok(Role::Reader),
+        "write" => Ok(Role::Writer),
+        "both" => Ok(Role::Both),
+        _ => Err(format!("unknown role {word:?}")),
+    }
+}
+
+fn effect(class: &ClassLine) -> Result<Effect, String> {
+    match class.repeat.as_deref() {
+        Some("free") => Ok(Effect::Safe),
+        None | Some("single_shot") => Ok(Effect::Unsafe),
+        Some("guarded") => {
+            let group = match class.group.as_deref() {
+                Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                None | Some("cell") => Group::Cell,
+                Some(word) => return Err(format!("unknown group {word:?}")),
+            };
+            Ok(Effect::Keyed { group, window: span(class.key_ttl) })
+        }
+        Some(word) => Err(format!("unknown kind of repeat {word:?}")),
+    }
+}
+
+/// What connections and tables are held to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// A connection that is not up by then has failed.
+    pub dial: Time,
+    /// A node closes connections that were idle so long.
+    pub idle: Time,
+    /// Requests that may be open at once.
+    pub most_held: usize,
+}
+
+/// A deployment: the module's settings, its bounds, and the numbers for its names.
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// What the dispatcher keeps to.
+    pub bounds: Bounds,
+    /// Names of classes.
+    pub classes: Names,
+    /// Names of tenants.
+    pub tenants: Names,
+    zones: Names,
+    kinds: Names,
+    roles: Vec<Role>,
+    memory: Vec<f64>,
+}
+
+impl Site {
+    /// A deployment from its settings object.
+    pub fn new(profile: &Profile) -> Result<Self, String> {
+        let none: (Family, Limits, Rules) = Default::default();
+        let family = profile.family_info.as_ref().unwrap_or(&none.0);
+        let limits = profile.limits.as_ref().unwrap_or(&none.1);
+        let rules = profile.rules.as_ref().unwrap_or(&none.2);
+        let class_lines = profile.classes.as_deref().unwrap_or_default();
+        let tenant_lines = profile.tenants.as_deref().unwrap_or_default();
+        let mut zones = Names::new(profile.dcs.iter().flatten());
+        let at = |list: &Option<Vec<f64>>, at: usize| list.as_ref().and_then(|list| list.get(at)).copied();
+        let class = |(number, class): (usize, &ClassLine)| {
+            Ok(Class {
+                aim: span(class.aim),
+                aim_per_1000_tokens: at(&family.aim_us_per_1000_prompt_tokens, number)
+                    .map_or(0, |us| us.max(0.0) as Time),
+                token_aim: span(at(&family.token_aim, number)),
+                worth: class.worth.unwrap_or(0.0),
+                effect: effect(class)?,
+            })
+        };
+        let tenant = |tenant: &TenantLine| Tenant { quota_per_s: tenant.quota_per_s.unwrap_or(0.0) };
+        let settings = Settings {
+            balancers: profile.balancers.unwrap_or(0),
+            zone: profile.zone.as_ref().map_or(u32::MAX, |zone| zones.number(zone)),
+            classes: class_lines.iter().enumerate().map(class).collect::<Result<_, String>>()?,
+            tenants: tenant_lines.iter().map(tenant).collect(),
+            over_share_worth: profile.over_share_worth.unwrap_or(0.0),
+            reports: match profile.reporting.as_ref().and_then(|reporting| reporting.via.as_deref()) {
+                Some("answers") => Reports::WithAnswers,
+                Some("probe") => Reports::WhenProbed,
+                None | Some("none") => Reports::Never,
+                Some(word) => return Err(format!("unknown way of reporting {word:?}")),
+            },
+            must_watch: profile.membership_mode.as_deref() == Some("subscribe"),
+            may_probe: limits.may_probe.unwrap_or(false),
+            may_cancel: limits.cancel.unwrap_or(false),
+            second_copies: limits.second_copies.unwrap_or(false),
+            max_retry_after: if limits.retry_after == Some(true) { span(limits.max_retry_after) } else { 0 },
+            max_attempts: limits.most_tries.unwrap_or(0),
+            tick: span(profile.tick),
+            answer_slack: span(rules.answer_slack),
+            drain_grace: span(rules.drain_grace),
+            release_within: span(family.release_within),
+            cold_from: rules.cold_from.unwrap_or(0.0),
+            warm_within: span(rules.warm_within),
+            fall_multiple: rules.tip_multiple.unwrap_or(0.0),
+            fall: span(rules.fall),
+            cross_zone_price: profile.deductions.as_ref().and_then(|it| it.cross_zone).unwrap_or(0.0),
+            far_price: family.move_fee.unwrap_or(0.0),
+        };
+        Ok(Site {
+            settings,
+            bounds: Bounds {
+                dial: limits.dial_timeout.map_or(250_000, micros),
+                idle: limits.conn_idle.map_or(30_000_000, micros),
+                most_held: limits.most_held.map_or(usize::MAX, |most| most as usize),
+            },
+            classes: Names::new(class_lines.iter().map(|class| &class.name)),
+            tenants: Names::new(tenant_lines.iter().map(|tenant| &tenant.name)),
+            zones,
+            kinds: Names::new(profile.machine_types.iter().flatten()),
+            roles: family.role_by_kind.iter().flatten().map(role).collect::<Result<_, String>>()?,
+            memory: family.tokens_by_kind.clone().unwrap_or_default(),
+        })
+    }
+
+    /// One server of a list, by the names of its kind and zone. The caller numbers servers.
+    pub fn entry(&mut self, server: ServerId, name: &str, kind: Option<&str>) -> Result<Entry, String> {
+        let number = kind.map_or(Some(0), |kind| self.kinds.known(kind));
+        let number = number.ok_or_else(|| format!("unknown kind {kind:?}"))? as usize;
+        Ok(Entry {
+            server,
+            key: hash(name),
+            role: *self.roles.get(number).ok_or("a kind without a role")?,
+            memory: self.memory.get(number).copied().unwrap_or(0.0),
+            ..Entry::default()
+        })
+    }
+
+    /// The number of a zone.
+    pub fn zone(&mut self, name: Option<&str>) -> u32 {
+        name.map_or(u32::MAX, |name| self.zones.number(name))
+    }
+}
+
+/// One line of a list of members, as discovery writes it.
+#[derive(Deserialize, Clone)]
+pub struct MemberLine {
+    /// The same at every dispatcher.
+    pub id: String,
+    /// Where it listens.
+    pub host_port: String,
+    /// Its zone.
+    pub locality: Option<String>,
+    /// Its kind.
+    pub flavor: Option<String>,
+    /// Its cell.
+    pub cell: Option<u32>,
+    /// Whether it takes work.
+    pub phase: String,
+    /// Its last start, in Unix milliseconds; 0: long ago.
+    pub up_since_ms: Option<f64>,
+}
+
+/// A list of members, whole or what changed.
+#[derive(Deserialize, Clone)]
+pub struct MemberList {
+    /// Its version.
+    pub revision: u64,
+    /// Members that are absent are gone.
+    pub complete: bool,
+    /// Its lines.
+    pub members: Vec<MemberLine>,
+}
+
+/// What the dispatcher may use.
+#[derive(Deserialize, Clone)]
+pub struct Machine {
+    /// Memory, in MB.
+    pub memory_mb: Option<u64>,
+    /// File descriptors.
+    pub sockets: Option<u64>,
+}
+
+/// The configuration file of a real dispatcher.
+#[derive(Deserialize)]
+pub struct Config {
+    /// The dispatcher's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Where discovery listens.
+    pub discovery: String,
+    /// For random numbers, in hexadecimal digits.
+    pub seed: String,
+    /// What the dispatcher may use.
+    pub limits: Machine,
+    /// The list of members as it was last held.
+    pub known: Option<MemberList>,
+    /// The settings object.
+    pub settings: Profile,
+}
+
+impl Config {
+    /// Reads a configuration; the error is one line.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        json::from_str(text).map_err(|_| "the configuration is not the JSON object that is expected".into())
+    }
+}
