--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -81,8 +81,14 @@
         /// Where the answer goes.
         answer: oneshot::Sender<Answer>,
     },
-    /// The client has left, or the request's ticket was let go after its end.
-    Gone(RequestId),
+    /// The client has left, or the request's ticket was let go after its end. When all of it is over, `fate`
+    /// is told whether it may have run.
+    Gone {
+        /// The request.
+        id: RequestId,
+        /// Who wants to know.
+        fate: Option<oneshot::Sender<bool>>,
+    },
     /// An attempt's answer has begun.
     First {
         /// The request.
@@ -201,11 +207,12 @@
 pub struct Ticket {
     id: RequestId,
     door: Door,
+    fate: Option<oneshot::Sender<bool>>,
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.door.post(Event::Gone(self.id));
+        self.door.post(Event::Gone { id: self.id, fate: self.fate.take() });
     }
 }
 
@@ -215,9 +222,18 @@
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (answer, answered) = oneshot::channel();
         // The ticket comes first: a client that leaves while the queue is full is told of all the same.
+        let ticket = Ticket { id, door: self.clone(), fate: None };
         let event = Event::Request { ask: Ask { id, ..ask }, work, answer };
         let _ = self.events.send(event).await;
-        (Ticket { id, door: self.clone() }, answered)
+        (ticket, answered)
+    }
+
+    /// Leaves a request; when all of it is over, tells whether it may have run. `None`: nobody knows.
+    pub async fn leave(&self, mut ticket: Ticket) -> Option<bool> {
+        let (fate, told) = oneshot::channel();
+        ticket.fate = Some(fate);
+        drop(ticket);
+        told.await.ok()
     }
 
     /// Tells the core; waits while the queue is full.
@@ -275,6 +291,8 @@
     stray: bool, // a state may be left that the module does not know of
     idle_since: Time,
     releasing: bool,
+    ran: bool, // it may have: something other than a read ended without proof that it never ran
+    fate: Option<oneshot::Sender<bool>>,
 }
 
 impl Held {
@@ -331,7 +349,7 @@
     pub fn hear(&mut self, now: Time, event: Event) {
         match event {
             Event::Request { ask, work, answer } => self.request(now, ask, work, answer),
-            Event::Gone(id) => self.gone(now, id),
+            Event::Gone { id, fate } => self.gone(now, id, fate),
             Event::First { id, attempt, stream } => self.first(now, id, attempt, stream),
             Event::Ended { id, attempt, status, note, load } => {
                 self.ended(now, id, attempt, status, note, load)
@@ -416,13 +434,16 @@
             stray: false,
             idle_since: now,
             releasing: false,
+            ran: false,
+            fate: None,
         };
         self.requests.insert(id, held);
         self.step(now, api::Event::Request(ask));
     }
 
-    fn gone(&mut self, now: Time, id: RequestId) {
+    fn gone(&mut self, now: Time, id: RequestId, fate: Option<oneshot::Sender<bool>>) {
         let Some(held) = self.requests.get_mut(&id) else { return };
+        held.fate = fate;
         if let Some(attempt) = held.begun.filter(|at| held.attempts[*at as usize].out) {
             // Its stream has nobody left to read it.
             self.commands.push(Command::Cancel { id, attempt });
@@ -463,6 +484,8 @@
             held.closed = true; // by its good end, or by its break
         }
         let reads = self.nodes.get(&server).is_none_or(|node| node.role != Role::Writer);
+        let proven = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        held.ran |= !proven && self.nodes.get(&server).is_none_or(|node| node.role != Role::Reader);
         match status {
             Status::Read => held.known = true,
             // The read may have ended well at the moment its connection broke or was closed.
@@ -633,6 +656,9 @@
         if held.closed && !held.out() && !held.releasing {
             if let Some(held) = self.requests.remove(&id) {
                 self.names.remove(&held.work.name);
+                if let Some(fate) = held.fate {
+                    let _ = fate.send(held.ran);
+                }
             }
         }
     }
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -1,8 +1,10 @@
 //! The platform's HTTP/1.1: a thin front on axum.
 
 use crate::api::Ask;
-use crate::dispatch::{Answer, Door, Piece, Readiness, Ticket, Work};
-use crate::settings::{hash, micros, Site};
+use crate::dispatch::{Answer, Door, Piece, Ticket, Work};
+use crate::fronts::health::ready;
+use crate::fronts::names::{is_name, key};
+use crate::settings::{micros, Site};
 use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::{header, HeaderMap, StatusCode};
@@ -12,26 +14,16 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
-use slog::{debug, info, warn, Logger};
+use slog::{debug, Logger};
 use std::io;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch, Semaphore};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, Instant};
+use tokio::sync::{mpsc, Semaphore};
+use tokio::time::Instant;
 
 /// A request's body may have so many bytes.
 pub const MOST_BODY: usize = 256 * 1024;
-/// A client that takes longer over a request's head, or lets a connection stand idle longer, is cut off.
-const HEAD_TIME: Duration = Duration::from_secs(90);
-/// A connection's read buffer: a head must fit.
-const BUFFER: usize = 16 * 1024;
-
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Shared {
@@ -44,27 +36,10 @@
 
 /// The front's routes. `body_kb` bounds the bodies that are held at once.
 pub fn routes(door: Door, site: Arc<Site>, body_kb: usize, log: Logger) -> Router {
+    let door_of_ready = door.clone();
     let shared = Shared { door, site, bodies: Arc::new(Semaphore::new(body_kb)), log };
-    Router::new().route("/v1/chat/completions", post(complete)).route("/ready", get(ready)).with_state(shared)
-}
-
-async fn ready(State(shared): State<Shared>) -> (StatusCode, &'static str) {
-    match shared.door.readiness() {
-        Readiness::Ready => (StatusCode::OK, "ready\n"),
-        Readiness::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
-        Readiness::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
-    }
-}
-
-/// A session's or a text's key: 16 hexadecimal digits, and any other word by its hash.
-pub fn key(word: &str) -> u64 {
-    u64::from_str_radix(word, 16).unwrap_or_else(|_| hash(word))
-}
-
-/// A name that may stand in a node's path as it is.
-pub fn is_name(name: &str) -> bool {
-    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
-    (1..=128).contains(&name.len()) && name.bytes().all(plain) && !name.bytes().all(|it| it == b'.')
+    let ready = Router::new().route("/ready", get(ready)).with_state(door_of_ready);
+    Router::new().route("/v1/chat/completions", post(complete)).with_state(shared).merge(ready)
 }
 
 /// Reads `X-Props`: lengths in tokens, and the shared text where there is one.
@@ -192,59 +167,3 @@
         }
     }
 }
-
-/// Serves clients until `stop` turns true; then no more connections are taken, those that are idle are
-/// closed, and it returns when all are over. `most` is the most connections at once.
-pub async fn serve(
-    listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
-) {
-    let places = Arc::new(Semaphore::new(most));
-    let mut connections = JoinSet::new();
-    let mut pause = Duration::from_millis(5);
-    let mut stopping = stop.clone();
-    loop {
-        while connections.try_join_next().is_some() {}
-        let accepted = tokio::select! {
-            biased;
-            _ = stopping.wait_for(|stop| *stop) => break,
-            accepted = async {
-                // At the limit, new connections wait in the listener's queue: none is dropped.
-                let place = places.clone().acquire_owned().await;
-                (listener.accept().await, place)
-            } => accepted,
-        };
-        let (stream, place) = match accepted {
-            (Ok((stream, _)), Ok(place)) => (stream, place),
-            (Err(error), _) => {
-                // Out of descriptors, or the client was too quick: trying at once would spin.
-                warn!(log, "accept failed"; "error" => %error);
-                sleep(pause).await;
-                pause = (pause * 2).min(Duration::from_millis(200));
-                continue;
-            }
-            (_, Err(_)) => break,
-        };
-        pause = Duration::from_millis(5);
-        let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(routes.clone());
-        let mut stop = stop.clone();
-        connections.spawn(async move {
-            let mut http = hyper::server::conn::http1::Builder::new();
-            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(BUFFER);
-            let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
-            let ended = tokio::select! {
-                ended = connection.as_mut() => Some(ended),
-                _ = stop.wait_for(|stop| *stop) => None,
-            };
-            if ended.is_none() {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
-            drop(place);
-        });
-    }
-    drop(listener);
-    info!(log, "no more connections are taken"; "open" => connections.len());
-    let _ = stop.wait_for(|stop| *stop).await;
-    while connections.join_next().await.is_some() {}
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,17 +2,18 @@
 
 use clap::{Parser, Subcommand};
 use quartzhall::dispatch::{self, Clock, Core, Event};
-use quartzhall::fronts::platform;
-use quartzhall::settings::{Config, Site};
+use quartzhall::fronts::{health, listener, platform, websocket};
+use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, nodes};
 use slog::{info, o, Drain, Level, Logger};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 
 /// After SIGTERM new connections are served for so long, until balancers in front have noticed.
 const GRACE: Duration = Duration::from_millis(500);
@@ -34,15 +35,21 @@
         /// The configuration, as JSON.
         #[arg(long, env = "GW_CONFIG")]
         config: PathBuf,
+        /// The session file: where WebSocket sessions are taken and opened. Without it they are off.
+        #[arg(long)]
+        websocket: Option<PathBuf>,
         /// What is logged: error, warning, info or debug.
         #[arg(long, env = "QUARTZHALL_LOG", default_value = "info", value_parser = level)]
         log: Level,
     },
-    /// Read a configuration, say what it holds, and end.
+    /// Read the configuration and the session file, say what they hold, and end.
     Check {
         /// The configuration, as JSON.
         #[arg(long, env = "GW_CONFIG")]
         config: PathBuf,
+        /// The session file.
+        #[arg(long)]
+        websocket: Option<PathBuf>,
     },
     /// Print the version.
     Version,
@@ -52,11 +59,20 @@
     word.parse().map_err(|()| "not a level of the log".into())
 }
 
-fn read(path: &PathBuf) -> Result<(Config, Site), String> {
-    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    let config = Config::parse(&text)?;
+fn text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn read(config: &Path, websocket: Option<&Path>) -> Result<(Config, Site, Sessions), String> {
+    let config = Config::parse(&text(config)?)?;
     let site = Site::new(&config.settings)?;
-    Ok((config, site))
+    let off = || Ok("{}".to_owned());
+    let sessions = Sessions::parse(&websocket.map_or_else(off, text)?)?;
+    Ok((config, site, sessions))
+}
+
+async fn listen(address: &str) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|error| format!("{address}: {error}"))
 }
 
 /// Writes to standard error from a thread of its own; a log that nobody reads is dropped and counted.
@@ -67,14 +83,24 @@
     (Logger::root(drain.filter_level(level).fuse(), o!()), guard)
 }
 
-async fn serve(config: Config, site: Site, log: Logger) -> Result<(), String> {
-    let listener = TcpListener::bind(&config.listen).await;
-    let listener = listener.map_err(|error| format!("{}: {error}", config.listen))?;
+async fn serve(config: Config, site: Site, sessions: Sessions, log: Logger) -> Result<(), String> {
+    let platform_listener = listen(&config.listen).await?;
+    let mut session_listener = None;
+    if let Some(address) = &sessions.listen {
+        session_listener = Some(listen(address).await?);
+    }
+    let mut agent_listener = None;
+    if let Some(address) = &sessions.agent_check {
+        agent_listener = Some(listen(address).await?);
+    }
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| "the seed is not hexadecimal")?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
     let sockets = config.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(16) as usize;
     let memory_kb = config.limits.memory_mb.unwrap_or(192) as usize * 1024;
+    // Nodes get half of the descriptors, for an attempt needs one as its client does; sessions, where they are
+    // taken, get theirs out of the clients' half.
+    let for_sessions = if session_listener.is_some() { sessions.most_sessions.min(sockets / 4) } else { 0 };
 
     let clock = Clock::start();
     let (door, inbox) = dispatch::door();
@@ -85,13 +111,27 @@
         core.hear(clock.now(), discovery::members(&mut members_site, known, &log));
     }
     let (commands, commanded) = mpsc::channel(1024);
-    tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, sockets / 2, log.clone()));
+    let speak_sessions = sessions.nodes.iter().cloned().collect();
+    let (bounds, node_sockets) = (site.bounds, sockets / 2);
+    tokio::spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
     tokio::spawn(dispatch::run(core, clock, inbox, commands));
     tokio::spawn(discovery::run(config.discovery, members_site, door.clone(), log.clone()));
 
     let (set_stop, stop) = watch::channel(false);
-    let routes = platform::routes(door.clone(), Arc::new(site), memory_kb / 3, log.clone());
-    let front = tokio::spawn(platform::serve(listener, routes, sockets / 2, stop, log.clone()));
+    let site = Arc::new(site);
+    let routes = platform::routes(door.clone(), site.clone(), memory_kb / 3, log.clone());
+    let most = sockets / 2 - for_sessions;
+    let mut fronts = JoinSet::new();
+    fronts.spawn(listener::serve(platform_listener, routes, most, stop.clone(), log.clone()));
+    let options = Arc::new(Sessions { most_sessions: for_sessions.max(1), ..sessions });
+    let shared = websocket::Shared::new(door.clone(), site, options, seed, stop.clone(), log.clone());
+    if let Some(at) = session_listener {
+        let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
+        fronts.spawn(listener::serve(at, routes, for_sessions, stop.clone(), log.clone()));
+    }
+    if let Some(at) = agent_listener {
+        fronts.spawn(health::serve_agent(at, door.clone(), stop.clone(), log.clone()));
+    }
     info!(log, "serving"; "name" => config.name, "listen" => config.listen);
 
     tokio::select! {
@@ -102,7 +142,8 @@
     door.tell(Event::Drain).await;
     tokio::time::sleep(GRACE).await;
     let _ = set_stop.send(true);
-    let _ = front.await;
+    while fronts.join_next().await.is_some() {}
+    shared.over().await;
     door.empty().await;
     info!(log, "all is answered and let go");
     Ok(())
@@ -114,19 +155,20 @@
             println!("quartzhall {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Task::Check { config } => {
-            let (config, site) = read(&config)?;
+        Task::Check { config, websocket } => {
+            let (config, site, sessions) = read(&config, websocket.as_deref())?;
             let (classes, tenants) = (site.settings.classes.len(), site.settings.tenants.len());
             let known = config.known.map_or(0, |known| known.members.len());
             println!("{}: {classes} classes, {tenants} tenants, {known} known members", config.name);
+            println!("sessions: {}", sessions.listen.as_deref().unwrap_or("off"));
             Ok(())
         }
-        Task::Serve { config, log } => {
-            let (config, site) = read(&config)?;
+        Task::Serve { config, websocket, log } => {
+            let (config, site, sessions) = read(&config, websocket.as_deref())?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
             let (log, _guard) = logger(log);
-            runtime.block_on(serve(config, site, log))
+            runtime.block_on(serve(config, site, sessions, log))
         }
     }
 }
--- /dev/null
+++ b/src/nodes/attempt.rs
@@ -0,0 +1,116 @@
+//! One attempt at a node, whatever its wire: what is sent, how it ended, and the passing on of its stream.
+
+use crate::api::{Load, RequestId, Status};
+use crate::dispatch::{Door, Event, Piece, Work};
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Pieces of a stream that may wait for a slow client before its node is read no further.
+const PIECES: usize = 16;
+/// A stream without an event for so long has broken: its node is silent.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// One attempt, as the core commanded it.
+pub struct Trial {
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: u32,
+    /// The node's address.
+    pub address: Arc<str>,
+    /// What it is given.
+    pub work: Work,
+    /// How long the first event is waited for.
+    pub timeout: Duration,
+}
+
+/// How an attempt ended.
+pub struct End {
+    /// Its outcome.
+    pub status: Status,
+    /// Tokens found kept, or 1 with `Full` where no state was there.
+    pub note: f64,
+    /// The node's load, where it was told.
+    pub load: Option<Load>,
+}
+
+impl From<Status> for End {
+    fn from(status: Status) -> Self {
+        End { status, note: 0.0, load: None }
+    }
+}
+
+/// Passes a stream on as it comes. Its first piece tells the core, which decides whose it is.
+pub struct Passing {
+    door: Door,
+    id: RequestId,
+    attempt: u32,
+    pieces: Option<mpsc::Sender<Piece>>,
+}
+
+impl Passing {
+    /// For this attempt.
+    pub fn new(door: Door, trial: &Trial) -> Self {
+        Passing { door, id: trial.id, attempt: trial.attempt, pieces: None }
+    }
+
+    /// Whether a first event came; it stops the time-out.
+    pub fn begun(&self) -> bool {
+        self.pieces.is_some()
+    }
+
+    /// Until when the next piece is waited for: the time-out, and later for as long as a node may be silent.
+    pub fn limit(&self, until: Instant) -> Instant {
+        if self.begun() {
+            Instant::now() + SILENCE
+        } else {
+            until
+        }
+    }
+
+    /// Passes a piece on; false where nobody wants it any more.
+    pub async fn data(&mut self, data: Bytes) -> bool {
+        if data.is_empty() {
+            return true;
+        }
+        if let Some(pieces) = &self.pieces {
+            return pieces.send(Piece::Data(data)).await.is_ok();
+        }
+        let (pieces, stream) = mpsc::channel(PIECES);
+        let _ = pieces.try_send(Piece::Data(data)); // the channel is new and empty
+        self.pieces = Some(pieces);
+        self.door.tell(Event::First { id: self.id, attempt: self.attempt, stream }).await;
+        true
+    }
+
+    /// Passes the good end on. Without it, whoever reads the stream takes it as broken.
+    pub async fn end(self) {
+        if let Some(pieces) = self.pieces {
+            let _ = pieces.send(Piece::End).await;
+        }
+    }
+}
+
+/// Reads a load report: `TEXT inflight=7, queue=2`. What is not known is disregarded.
+pub fn parse_load(text: &str) -> Option<Load> {
+    let text = text.trim();
+    let text = text.strip_prefix("Endpoint-Load-Metrics:").unwrap_or(text).trim_start();
+    let mut load = Load::default();
+    let mut any = false;
+    for pair in text.strip_prefix("TEXT")?.split(',') {
+        let Some((name, value)) = pair.split_once('=') else { continue };
+        let Some(value) = value.trim().parse().ok().filter(|value: &f64| value.is_finite()) else { continue };
+        match name.trim() {
+            "inflight" => load.in_flight = Some(value),
+            "queue" => load.queue = Some(value),
+            "x0" => load.memory = Some(value),
+            "x1" => load.to_read = Some(value),
+            _ => continue,
+        }
+        any = true;
+    }
+    any.then_some(load)
+}
--- /dev/null
+++ b/src/nodes/http.rs
@@ -0,0 +1,234 @@
+//! HTTP/1.1 to nodes, on hyper-util's client.
+//!
+//! "It never ran" is said only where that is certain: the connection never came up, the node said so, or the
+//! body was never handed to a connection.
+
+use super::attempt::{parse_load, End, Passing, Trial};
+use super::connections::Dialer;
+use crate::api::{Load, Status};
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{header, HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use miniserde::{json, Deserialize};
+use slog::{debug, Logger};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+/// A short answer of a node (a read's result, a load report) is not read beyond this.
+const SHORT_ANSWER: usize = 16 * 1024;
+/// The end of a stream that is kept for the usage and the load report that it carries.
+const TAIL: usize = 4096;
+
+/// A body of one piece that notes when a connection took it: until then nothing can have run.
+pub struct Once {
+    body: Option<Bytes>,
+    taken: Arc<AtomicBool>,
+}
+
+impl http_body::Body for Once {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        self.taken.store(true, Ordering::Relaxed);
+        Poll::Ready(self.body.take().map(|body| Ok(Frame::data(body))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        false
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        http_body::SizeHint::with_exact(self.body.as_ref().map_or(0, |body| body.len() as u64))
+    }
+}
+
+fn load_of(headers: &HeaderMap) -> Option<Load> {
+    parse_load(headers.get("endpoint-load-metrics")?.to_str().ok()?)
+}
+
+#[derive(Deserialize)]
+struct Kept {
+    cached_tokens: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<Kept>,
+}
+
+#[derive(Deserialize)]
+struct Last {
+    usage: Option<Usage>,
+}
+
+/// What the last lines of a stream tell: tokens found kept, and the node's load.
+pub fn parse_tail(tail: &[u8]) -> (f64, Option<Load>) {
+    let text = String::from_utf8_lossy(tail);
+    let (mut kept, mut load) = (0.0, None);
+    for line in text.lines() {
+        if let Some(comment) = line.strip_prefix(':') {
+            load = parse_load(comment).or(load);
+        } else if let Some(data) = line.strip_prefix("data:").filter(|data| data.contains("\"usage\"")) {
+            let usage = json::from_str::<Last>(data.trim()).ok().and_then(|last| last.usage);
+            let details = usage.and_then(|usage| usage.prompt_tokens_details);
+            kept = details.and_then(|details| details.cached_tokens).unwrap_or(kept);
+        }
+    }
+    (kept, load)
+}
+
+/// The client, with its pool of connections. Cheap to clone.
+#[derive(Clone)]
+pub struct Http {
+    client: Client<Dialer, Once>,
+    dialer: Dialer,
+    log: Logger,
+}
+
+impl Http {
+    /// A client without connections. One that was idle for `idle_time` is not used again.
+    pub fn new(dialer: Dialer, idle_time: Duration, log: Logger) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            // A resend is an attempt of its own, which only the core may order.
+            .retry_canceled_requests(false)
+            .set_host(true)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(idle_time)
+            .pool_max_idle_per_host(64)
+            .build(dialer.clone());
+        Http { client, dialer, log }
+    }
+
+    async fn call(&self, method: Method, address: &str, target: &str) -> Option<Response<Incoming>> {
+        let body = Once { body: None, taken: Arc::default() };
+        let request = Request::builder().method(method).uri(format!("http://{address}{target}")).body(body);
+        let answer = self.client.request(request.ok()?).await;
+        answer
+            .map_err(|error| debug!(self.log, "a call failed"; "address" => address, "error" => ?error))
+            .ok()
+    }
+
+    /// Runs an attempt to its end.
+    pub async fn attempt(&self, trial: &Trial, passing: Passing) -> End {
+        let until = Instant::now() + trial.timeout;
+        let taken = Arc::new(AtomicBool::new(false));
+        let body = Once { body: Some(trial.work.body.clone()), taken: taken.clone() };
+        let uri = format!("http://{}{}", trial.address, trial.work.target);
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(uri)
+            .header("x-trace-id", &*trial.work.name)
+            .header("x-expires-in-ms", trial.timeout.as_millis().to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(body);
+        let Ok(request) = request else { return Status::Moot.into() };
+        let exchange = tokio::select! {
+            biased;
+            // The drain rule counts from a send's first byte: one that still waits for a connection when its
+            // node is barred is not sent. What has gone out is left alone.
+            () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
+                return Status::ConnectFailed.into();
+            }
+            exchange = timeout_at(until, self.client.request(request)) => exchange,
+        };
+        let response = match exchange {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                debug!(self.log, "attempt failed"; "id" => trial.id, "attempt" => trial.attempt,
+                    "address" => %trial.address, "error" => ?error);
+                let never = error.is_connect() || !taken.load(Ordering::Relaxed);
+                return if never { Status::ConnectFailed } else { Status::Reset }.into();
+            }
+            Err(_) => return Status::Timeout.into(),
+        };
+        let load = load_of(response.headers());
+        let never_ran = response.headers().get("x-never-ran").is_some_and(|value| value == "1");
+        match response.status() {
+            StatusCode::OK => self.stream(until, response, passing).await,
+            StatusCode::ACCEPTED => {
+                let body = Limited::new(response.into_body(), SHORT_ANSWER).collect();
+                match timeout_at(until, body).await {
+                    Ok(Ok(body)) => {
+                        let body = body.to_bytes();
+                        let kept = std::str::from_utf8(&body).ok().and_then(|it| json::from_str(it).ok());
+                        let note = kept.and_then(|kept: Kept| kept.cached_tokens).unwrap_or(0.0);
+                        End { status: Status::Read, note, load }
+                    }
+                    Ok(Err(_)) => Status::Reset.into(),
+                    Err(_) => Status::Timeout.into(),
+                }
+            }
+            StatusCode::GONE if never_ran => End { status: Status::Full, note: 1.0, load },
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => {
+                End { status: Status::Full, note: 0.0, load }
+            }
+            other => {
+                debug!(self.log, "a node's error"; "id" => trial.id, "address" => %trial.address,
+                    "code" => other.as_u16());
+                End { status: Status::Error, note: 0.0, load }
+            }
+        }
+    }
+
+    async fn stream(&self, until: Instant, response: Response<Incoming>, mut passing: Passing) -> End {
+        let load = load_of(response.headers());
+        let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+        if !kind.is_some_and(|kind| kind.starts_with("text/event-stream")) {
+            return End { status: Status::Error, note: 0.0, load };
+        }
+        let mut body = response.into_body();
+        let mut tail = Vec::new();
+        loop {
+            let frame = match timeout_at(passing.limit(until), body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Status::Reset.into(),
+                Ok(None) => break,
+                Err(_) if passing.begun() => return Status::Reset.into(),
+                Err(_) => return Status::Timeout.into(),
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
+            tail.drain(..tail.len().saturating_sub(TAIL));
+            if !passing.data(data).await {
+                return Status::Cancelled.into();
+            }
+        }
+        if !passing.begun() {
+            return End { status: Status::Error, note: 0.0, load };
+        }
+        passing.end().await;
+        let (note, last) = parse_tail(&tail);
+        End { status: Status::Ok, note, load: last.or(load) }
+    }
+
+    /// Asks a node to let go of what is held for a request; true when it said that it has.
+    pub async fn release(&self, name: &str, address: &str) -> bool {
+        let Some(answer) = self.call(Method::DELETE, address, &format!("/kv/leases/{name}")).await else {
+            return false;
+        };
+        let done = answer.status().is_success();
+        // Read to its end, so that its connection can be used again.
+        let _ = Limited::new(answer.into_body(), SHORT_ANSWER).collect().await;
+        done
+    }
+
+    /// Asks a node for its load: whether it is well, and its report.
+    pub async fn probe(&self, address: &str) -> Option<(bool, Option<Load>)> {
+        let answer = self.call(Method::GET, address, "/status/load").await?;
+        let ok = answer.status() == StatusCode::OK;
+        let load = load_of(answer.headers());
+        let body = Limited::new(answer.into_body(), SHORT_ANSWER).collect().await.ok()?.to_bytes();
+        Some((ok, load.or_else(|| parse_load(std::str::from_utf8(&body).ok()?))))
+    }
+}
--- /dev/null
+++ b/src/nodes/mod.rs
@@ -0,0 +1,160 @@
+//! The side of the model nodes: attempts and their cancels, leases, probes, connections.
+//!
+//! It does what the core commands and tells it how each attempt ended. Nodes speak HTTP/1.1, or WebSocket
+//! sessions where the session file names them.
+
+pub mod attempt;
+mod connections;
+pub mod http;
+pub mod sessions;
+
+use crate::api::{RequestId, ServerId, Status};
+use crate::dispatch::{Command, Door, Event};
+use crate::settings::Bounds;
+use attempt::{End, Passing, Trial};
+use connections::Dialer;
+use http::Http;
+use sessions::Sessions;
+use slog::{error, warn, Logger};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A lease call is tried so long at one node before the next one ...
+const LEASE_CALL: Duration = Duration::from_millis(150);
+/// ... and so long in all; nodes free by themselves what is left then.
+const LEASE_TRIES: Duration = Duration::from_secs(5);
+/// Between two rounds of lease calls.
+const LEASE_PAUSE: Duration = Duration::from_millis(20);
+/// A probe that takes longer has failed.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// What tasks of this side share.
+#[derive(Clone)]
+struct Shared {
+    http: Http,
+    sessions: Sessions,
+    speak_sessions: Arc<HashSet<String>>,
+    door: Door,
+    log: Logger,
+}
+
+impl Shared {
+    async fn attempt(&self, trial: &Trial) -> End {
+        let passing = Passing::new(self.door.clone(), trial);
+        if self.speak_sessions.contains(&*trial.address) {
+            self.sessions.attempt(trial, passing).await
+        } else {
+            self.http.attempt(trial, passing).await
+        }
+    }
+
+    /// Lets go of what is held for a request: any node passes it on, and one that can't be reached may have
+    /// died with the state, so the next one is tried.
+    async fn release(&self, name: &str, addresses: &[Arc<str>]) {
+        let until = Instant::now() + LEASE_TRIES;
+        while Instant::now() < until && !addresses.is_empty() {
+            for address in addresses {
+                let released = timeout(LEASE_CALL, async {
+                    if self.speak_sessions.contains(&**address) {
+                        self.sessions.release(name, address).await
+                    } else {
+                        self.http.release(name, address).await
+                    }
+                });
+                if released.await == Ok(true) {
+                    return;
+                }
+            }
+            sleep(LEASE_PAUSE).await;
+        }
+        warn!(self.log, "a lease could not be let go"; "name" => name);
+    }
+
+    async fn probe(&self, server: ServerId, address: &str) {
+        // A session carries no probes: its reports come with its answers.
+        let answer = timeout(PROBE, self.http.probe(address)).await;
+        let (ok, load) = answer.ok().flatten().unwrap_or((false, None));
+        self.door.tell(Event::Probed { server, ok, load }).await;
+    }
+}
+
+/// Does what the core commands, until it ends. `sockets` is the most connections to nodes at once;
+/// `speak_sessions` names the addresses of nodes that speak WebSocket sessions.
+pub async fn run(
+    mut commands: mpsc::Receiver<Command>, door: Door, bounds: Bounds, sockets: usize,
+    speak_sessions: HashSet<String>, log: Logger,
+) {
+    let dialer = Dialer::new(Duration::from_micros(bounds.dial), sockets);
+    // Nodes close what was idle for the settings' time; a request written then would be lost.
+    let idle = Duration::from_micros(bounds.idle * 7 / 10);
+    let http = Http::new(dialer.clone(), idle, log.clone());
+    let sessions = Sessions::new(dialer.clone(), idle, log.clone());
+    let shared = Shared { http, sessions, speak_sessions: Arc::new(speak_sessions), door, log };
+    let mut tasks: JoinSet<()> = JoinSet::new();
+    let mut trials: HashMap<tokio::task::Id, (RequestId, u32)> = HashMap::new();
+    let mut cancels: HashMap<(RequestId, u32), oneshot::Sender<()>> = HashMap::new();
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                None => break,
+                Some(Command::Send { id, attempt, address, work, timeout }) => {
+                    let (cancel, cancelled) = oneshot::channel::<()>();
+                    let shared = shared.clone();
+                    let trial = Trial { id, attempt, address, work, timeout };
+                    let handle = tasks.spawn(async move {
+                        let End { status, note, load } = tokio::select! {
+                            biased;
+                            end = shared.attempt(&trial) => end,
+                            // Dropping the exchange closes its connection.
+                            _ = cancelled => Status::Cancelled.into(),
+                        };
+                        let (id, attempt) = (trial.id, trial.attempt);
+                        shared.door.tell(Event::Ended { id, attempt, status, note, load }).await;
+                    });
+                    trials.insert(handle.id(), (id, attempt));
+                    cancels.insert((id, attempt), cancel);
+                }
+                Some(Command::Cancel { id, attempt }) => {
+                    if let Some(cancel) = cancels.remove(&(id, attempt)) {
+                        let _ = cancel.send(());
+                    }
+                }
+                Some(Command::Release { id, name, addresses }) => {
+                    let shared = shared.clone();
+                    tasks.spawn(async move {
+                        shared.release(&name, &addresses).await;
+                        shared.door.tell(Event::Released(id)).await;
+                    });
+                }
+                Some(Command::Probe { server, address }) => {
+                    let shared = shared.clone();
+                    tasks.spawn(async move { shared.probe(server, &address).await });
+                }
+                Some(Command::Bar { address, barred }) => {
+                    if barred {
+                        shared.sessions.forget(&address);
+                    }
+                    dialer.bar(address, barred);
+                }
+            },
+            Some(ended) = tasks.join_next_with_id() => {
+                let task = match &ended {
+                    Ok((task, ())) => *task,
+                    Err(error) => error.id(),
+                };
+                let Some((id, attempt)) = trials.remove(&task) else { continue };
+                cancels.remove(&(id, attempt));
+                if let Err(error) = ended {
+                    // A task that died has told nothing: the core must not wait for it.
+                    error!(shared.log, "an attempt's task died"; "error" => %error);
+                    let status = Status::Reset;
+                    shared.door.post(Event::Ended { id, attempt, status, note: 0.0, load: None });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/nodes/sessions.rs
@@ -0,0 +1,230 @@
+//! WebSocket sessions to the nodes that speak them: one request at a time, many in turn.
+//!
+//! Giving an attempt up closes its session, as it closes an HTTP/1.1 connection. A session that has stood idle is
+//! looked at before it is used again, and none goes to a node that drains.
+
+use super::attempt::{parse_load, End, Passing, Trial};
+use super::connections::{Dialer, Wire};
+use crate::api::Status;
+use bytes::Bytes;
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use miniserde::{json, Deserialize};
+use slog::{debug, Logger};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{timeout, timeout_at, Instant};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::WebSocketStream;
+
+/// Where nodes take sessions.
+const PATH: &str = "/v1/sessions";
+/// A node's message may have so many bytes.
+const MOST: usize = 256 * 1024;
+/// Idle sessions that are kept for a node.
+const MOST_IDLE: usize = 16;
+
+type Session = WebSocketStream<Wire>;
+/// Idle sessions by address, and since when.
+type Idle = HashMap<Arc<str>, Vec<(Session, Instant)>>;
+
+/// A node's message: the fields of all its types.
+#[derive(Deserialize)]
+pub struct Told {
+    #[serde(rename = "type")]
+    kind: String,
+    id: Option<String>,
+    data: Option<String>,
+    cached_tokens: Option<f64>,
+    never_ran: Option<bool>,
+    state_gone: Option<bool>,
+    load: Option<String>,
+}
+
+/// What a node's message means for the attempt that is out.
+pub enum Sense {
+    /// Some of the answer.
+    Data(Bytes),
+    /// The attempt has ended.
+    End(End),
+}
+
+/// Reads a node's message. What makes no sense, or belongs to another request, is an error of the node.
+pub fn parse(text: &str, name: &str) -> Sense {
+    let error = || Sense::End(Status::Error.into());
+    let Ok(told) = json::from_str::<Told>(text) else { return error() };
+    if told.id.as_deref() != Some(name) {
+        return error();
+    }
+    let load = told.load.as_deref().and_then(parse_load);
+    let kept = told.cached_tokens.unwrap_or(0.0);
+    let end = |status, note| Sense::End(End { status, note, load });
+    match (told.kind.as_str(), told.data) {
+        ("event", Some(data)) => Sense::Data(data.into()),
+        ("read", _) => end(Status::Read, kept),
+        ("served", _) => end(Status::Ok, kept),
+        ("refused", _) if told.never_ran == Some(true) => {
+            end(Status::Full, f64::from(u8::from(told.state_gone == Some(true))))
+        }
+        _ => end(Status::Error, 0.0),
+    }
+}
+
+/// Sessions to nodes, and those that are idle.
+#[derive(Clone)]
+pub struct Sessions {
+    dialer: Dialer,
+    idle: Arc<Mutex<Idle>>,
+    idle_time: Duration,
+    log: Logger,
+}
+
+impl Sessions {
+    /// No sessions yet. One that was idle for `idle_time` is not used again.
+    pub fn new(dialer: Dialer, idle_time: Duration, log: Logger) -> Self {
+        Sessions { dialer, idle: Arc::default(), idle_time, log }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes the idle sessions to a node.
+    pub fn forget(&self, address: &str) {
+        self.idle().remove(address);
+    }
+
+    fn take(&self, address: &str) -> Option<Session> {
+        loop {
+            let (mut session, since) = self.idle().get_mut(address)?.pop()?;
+            // Anything that waits on an idle session is its end, or nothing that belongs to a new request.
+            if since.elapsed() < self.idle_time && session.next().now_or_never().is_none() {
+                return Some(session);
+            }
+        }
+    }
+
+    fn keep(&self, address: &Arc<str>, session: Session) {
+        if self.dialer.is_barred(address) {
+            return;
+        }
+        let mut idle = self.idle();
+        let kept = idle.entry(address.clone()).or_default();
+        kept.retain(|(_, since)| since.elapsed() < self.idle_time);
+        if kept.len() < MOST_IDLE {
+            kept.push((session, Instant::now()));
+        }
+    }
+
+    async fn open(&self, address: &str) -> Option<Session> {
+        let opened = timeout(self.dialer.limit(), async {
+            let wire = self.dialer.dial(address).await.ok()?;
+            let config = WebSocketConfig::default().max_message_size(Some(MOST)).max_frame_size(Some(MOST));
+            let url = format!("ws://{address}{PATH}");
+            let opened = tokio_tungstenite::client_async_with_config(url, wire, Some(config)).await;
+            opened.map_err(|error| debug!(self.log, "no session"; "error" => %error)).ok()
+        });
+        let (session, _) = opened.await.ok().flatten()?;
+        // The drain rule counts from a send's first byte: one that waited here is checked again.
+        (!self.dialer.is_barred(address)).then_some(session)
+    }
+
+    /// Runs an attempt to its end.
+    pub async fn attempt(&self, trial: &Trial, mut passing: Passing) -> End {
+        let until = Instant::now() + trial.timeout;
+        if self.dialer.is_barred(&trial.address) {
+            return Status::Moot.into();
+        }
+        let taken = match self.take(&trial.address) {
+            Some(session) => Some(session),
+            None => match timeout_at(until, self.open(&trial.address)).await {
+                Ok(opened) => opened,
+                Err(_) => return Status::ConnectFailed.into(),
+            },
+        };
+        let Some(mut session) = taken else { return Status::ConnectFailed.into() };
+        let body = String::from_utf8_lossy(&trial.work.body);
+        let request = format!(
+            r#"{{"type":"request","id":{},"target":{},"expires_in_ms":{},"body":{}}}"#,
+            json::to_string(&*trial.work.name),
+            json::to_string(&*trial.work.target),
+            trial.timeout.as_millis(),
+            json::to_string(&*body),
+        );
+        // A message whose last byte was not written is no request.
+        match timeout_at(until, session.send(Message::Text(request.into()))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return Status::ConnectFailed.into(),
+            Err(_) => return Status::Timeout.into(),
+        }
+        loop {
+            let message = match timeout_at(passing.limit(until), session.next()).await {
+                Ok(Some(Ok(message))) => message,
+                Ok(Some(Err(_)) | None) => return Status::Reset.into(),
+                Err(_) if passing.begun() => return Status::Reset.into(),
+                Err(_) => return Status::Timeout.into(),
+            };
+            let text = match message {
+                Message::Text(text) => text,
+                Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => continue,
+                Message::Close(_) => return Status::Reset.into(),
+                Message::Binary(_) => return Status::Error.into(),
+            };
+            match parse(&text, &trial.work.name) {
+                Sense::Data(data) => {
+                    if !passing.data(data).await {
+                        return Status::Cancelled.into();
+                    }
+                }
+                Sense::End(end) => {
+                    let begun = passing.begun();
+                    let end = match end.status {
+                        Status::Ok if begun => {
+                            passing.end().await;
+                            end
+                        }
+                        // An answer without an event is none; one that ends otherwise has broken.
+                        Status::Ok | Status::Error => Status::Error.into(),
+                        _ if begun => Status::Reset.into(),
+                        _ => end,
+                    };
+                    if !matches!(end.status, Status::Error | Status::Reset) {
+                        self.keep(&trial.address, session);
+                    }
+                    return end;
+                }
+            }
+        }
+    }
+
+    /// Asks a node to let go of what is held for a request; true when it said that it has.
+    pub async fn release(&self, name: &str, address: &Arc<str>) -> bool {
+        let session = match self.take(address) {
+            Some(session) => Some(session),
+            None => self.reopen(address).await,
+        };
+        let Some(mut session) = session else { return false };
+        let call = format!(r#"{{"type":"release","id":{}}}"#, json::to_string(name));
+        if session.send(Message::Text(call.into())).await.is_err() {
+            return false;
+        }
+        while let Some(Ok(message)) = session.next().await {
+            let Message::Text(text) = message else { continue };
+            let told = json::from_str::<Told>(&text).ok();
+            let done = told.is_some_and(|told| told.kind == "released" && told.id.as_deref() == Some(name));
+            if done {
+                self.keep(address, session);
+            }
+            return done;
+        }
+        false
+    }
+
+    /// A session for a lease call, which a node that drains takes too.
+    async fn reopen(&self, address: &str) -> Option<Session> {
+        let wire = self.dialer.dial(address).await.ok()?;
+        let url = format!("ws://{address}{PATH}");
+        tokio_tungstenite::client_async(url, wire).await.ok().map(|(session, _)| session)
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -341,3 +341,76 @@
         json::from_str(text).map_err(|_| "the configuration is not the JSON object that is expected".into())
     }
 }
+
+/// The session file, as it comes: `deploy/websocket.json`.
+#[derive(Deserialize)]
+struct SessionFile {
+    listen: Option<String>,
+    agent_check: Option<String>,
+    nodes: Option<Vec<String>>,
+    most_sessions: Option<usize>,
+    most_requests: Option<usize>,
+    most_message: Option<usize>,
+    ping_ms: Option<u64>,
+    silent_ms: Option<u64>,
+    reattach_ms: Option<u64>,
+    record_entries: Option<usize>,
+    record_text: Option<usize>,
+    record_bytes: Option<usize>,
+}
+
+/// Where WebSocket sessions are taken and opened, and their bounds.
+#[derive(Clone, Debug)]
+pub struct Sessions {
+    /// Where terminals connect, and balancers ask for health; `None`: off.
+    pub listen: Option<String>,
+    /// Where balancers ask for an agent check; `None`: off.
+    pub agent_check: Option<String>,
+    /// Addresses of nodes that speak WebSocket.
+    pub nodes: Vec<String>,
+    /// Sessions at once.
+    pub most_sessions: usize,
+    /// Requests of one session at once.
+    pub most_requests: usize,
+    /// Bytes of a message.
+    pub most_message: usize,
+    /// Between two pings.
+    pub ping_ms: u64,
+    /// A session that was not heard for so long is over.
+    pub silent_ms: u64,
+    /// A request outlives its socket so long.
+    pub reattach_ms: u64,
+    /// Requests that are remembered after their end ...
+    pub record_entries: usize,
+    /// ... with their answers where they are no longer than this ...
+    pub record_text: usize,
+    /// ... and this in all.
+    pub record_bytes: usize,
+}
+
+impl Sessions {
+    /// Reads the session file; the error is one line.
+    pub fn parse(text: &str) -> Result<Sessions, String> {
+        let wrong = |what: &str| format!("the session file: {what}");
+        let file: SessionFile = json::from_str(text).map_err(|_| wrong("not the JSON object expected"))?;
+        let sessions = Sessions {
+            listen: file.listen,
+            agent_check: file.agent_check,
+            nodes: file.nodes.unwrap_or_default(),
+            most_sessions: file.most_sessions.unwrap_or(128),
+            most_requests: file.most_requests.unwrap_or(32),
+            most_message: file.most_message.unwrap_or(300 * 1024),
+            ping_ms: file.ping_ms.unwrap_or(15_000),
+            silent_ms: file.silent_ms.unwrap_or(40_000),
+            reattach_ms: file.reattach_ms.unwrap_or(400),
+            record_entries: file.record_entries.unwrap_or(4096),
+            record_text: file.record_text.unwrap_or(16 * 1024),
+            record_bytes: file.record_bytes.unwrap_or(8 * 1024 * 1024),
+        };
+        let counts = [sessions.most_sessions, sessions.most_requests, sessions.most_message];
+        if counts.contains(&0) || counts.iter().any(|count| *count > 1 << 24) || sessions.ping_ms == 0 {
+            return Err(wrong("a bound that bounds nothing"));
+        }
+        Ok(sessions)
+    }
+}
--- /dev/null
+++ b/tests/sessions.rs
@@ -0,0 +1,281 @@
+//! WebSocket sessions from end to end: terminals, the dispatcher, and nodes over both of their wires.
+
+mod stand;
+
+use futures_util::SinkExt;
+use stand::{ask, Fleet, Terminal, Way, ANSWER};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
+use tokio_tungstenite::tungstenite::Message;
+
+#[tokio::test]
+async fn a_request_is_read_and_written_over_either_wire_of_the_nodes() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        let mut terminal = Terminal::connect(&fleet).await;
+        for (id, class) in [("a", "status-query"), ("b", "return-request")] {
+            terminal.ask(id, class, 5000).await;
+            assert_eq!(terminal.hear_final(id).await, ("served".into(), ANSWER.concat()));
+        }
+        fleet.nothing_left().await;
+        assert_eq!(fleet.sent_to(2), 2);
+        assert_eq!(fleet.ledger.lock().unwrap().released, 0, "what a writer took needs no release");
+    }
+}
+
+#[tokio::test]
+async fn many_requests_of_a_session_get_one_final_message_each() {
+    let fleet = Fleet::start(true).await;
+    let mut terminal = Terminal::connect(&fleet).await;
+    let mut open: Vec<String> = (0..8).map(|number| format!("r{number}")).collect();
+    for id in &open {
+        terminal.ask(id, "return-request", 5000).await;
+    }
+    while !open.is_empty() {
+        let (kind, text) = terminal.hear().await;
+        if kind == "event" {
+            continue;
+        }
+        assert_eq!(kind, "served", "{text}");
+        let at = open.iter().position(|id| text.contains(&format!("\"{id}\""))).expect("one that is open");
+        open.remove(at);
+    }
+    fleet.nothing_left().await;
+    assert_eq!(fleet.sent_to(2), 8);
+}
+
+#[tokio::test]
+async fn the_deadline_ends_a_request_that_waits_for_a_writer() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(2, Way::Wait);
+        let mut terminal = Terminal::connect(&fleet).await;
+        let start = Instant::now();
+        terminal.ask("late", "return-request", 400).await;
+        // It may have run at the writer: no refusal, which would say that trying again is harmless.
+        assert_eq!(terminal.hear_final("late").await.0, "failed");
+        assert!(start.elapsed() >= Duration::from_millis(300) && start.elapsed() < Duration::from_secs(2));
+        fleet.nothing_left().await;
+    }
+}
+
+#[tokio::test]
+async fn what_every_node_turns_away_is_refused_with_a_time_to_come_back() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(0, Way::Full);
+        fleet.way(1, Way::Full);
+        let mut terminal = Terminal::connect(&fleet).await;
+        terminal.ask("no", "return-request", 1000).await;
+        let (kind, text) = terminal.hear().await;
+        assert_eq!(kind, "refused");
+        let after =
+            text.split("\"retry_after_ms\":").nth(1).expect("when to come back").trim_end_matches('}');
+        let after: u64 = after.parse().expect("milliseconds");
+        assert!((1..=500).contains(&after), "{text}");
+        fleet.nothing_left().await;
+        // Until then the record answers.
+        let tries = fleet.ledger.lock().unwrap().sent.len();
+        terminal.ask("no", "return-request", 9000).await;
+        assert_eq!(terminal.hear().await.0, "refused");
+        assert_eq!(fleet.ledger.lock().unwrap().sent.len(), tries);
+        assert_eq!(fleet.sent_to(2), 0);
+    }
+}
+
+#[tokio::test]
+async fn errors_garbage_and_broken_streams_fail_a_return_request_that_is_sent_once() {
+    for over_sessions in [false, true] {
+        for way in [Way::Fail, Way::Garbage, Way::Break] {
+            let fleet = Fleet::start(over_sessions).await;
+            fleet.tell(&[(3, "Ready")]).await;
+            fleet.way(2, way);
+            fleet.way(3, way);
+            let mut terminal = Terminal::connect(&fleet).await;
+            terminal.ask("x", "return-request", 2000).await;
+            assert_eq!(terminal.hear_final("x").await.0, "failed", "{way:?}");
+            fleet.nothing_left().await;
+            assert_eq!(fleet.sent_to(2) + fleet.sent_to(3), 1, "{way:?}");
+            // The same id again is no second try.
+            terminal.ask("x", "return-request", 2000).await;
+            assert_eq!(terminal.hear_final("x").await.0, "failed", "{way:?}");
+            assert_eq!(fleet.sent_to(2) + fleet.sent_to(3), 1, "{way:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_read_that_broke_leaves_no_state() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(0, Way::Break);
+    fleet.way(1, Way::Break);
+    let mut terminal = Terminal::connect(&fleet).await;
+    terminal.ask("x", "return-request", 1000).await;
+    let (kind, _) = terminal.hear_final("x").await;
+    assert!(kind == "refused" || kind == "failed", "{kind}");
+    fleet.nothing_left().await;
+    assert!(fleet.ledger.lock().unwrap().released > 0, "a state may have been left: it was let go");
+}
+
+#[tokio::test]
+async fn a_session_that_closes_while_its_request_waits_for_a_writer_leaves_nothing() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(2, Way::Wait);
+        let mut terminal = Terminal::connect(&fleet).await;
+        terminal.ask("w", "return-request", 9000).await;
+        fleet.until("it waits for the writer", |ledger| ledger.sent.iter().any(|(node, _)| *node == 2)).await;
+        drop(terminal);
+        fleet.nothing_left().await;
+        // It may have run: never again, from whatever session it is asked for.
+        fleet.way(2, Way::Serve);
+        let mut again = Terminal::connect(&fleet).await;
+        again.ask("w", "return-request", 9000).await;
+        let (kind, text) = again.hear().await;
+        assert_eq!(kind, "failed");
+        assert!(text.contains("may have run"), "{text}");
+        assert_eq!(fleet.sent_to(2), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_reconnect_is_no_new_try() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Pause);
+    let mut first = Terminal::connect(&fleet).await;
+    first.ask("r", "return-request", 9000).await;
+    assert_eq!(first.hear().await.0, "event");
+    // The new session comes while the old socket is still there: it takes the request over, text and all.
+    let mut second = Terminal::connect(&fleet).await;
+    second.ask("r", "return-request", 9000).await;
+    assert_eq!(second.hear().await.0, "event");
+    drop(first);
+    fleet.go.notify_one();
+    let (kind, rest) = second.hear_final("r").await;
+    assert_eq!((kind.as_str(), rest), ("served", ANSWER[1..].concat()));
+    // And once more after its end: the recorded outcome, with the answer.
+    let mut third = Terminal::connect(&fleet).await;
+    third.ask("r", "return-request", 9000).await;
+    assert_eq!(third.hear_final("r").await, ("served".into(), ANSWER.concat()));
+    fleet.nothing_left().await;
+    assert_eq!(fleet.sent_to(2), 1);
+}
+
+#[tokio::test]
+async fn a_safe_request_that_was_left_keeps_its_first_deadline() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Wait);
+    let mut terminal = Terminal::connect(&fleet).await;
+    let start = Instant::now();
+    terminal.ask("s", "status-query", 1500).await;
+    fleet.until("it waits for the writer", |ledger| ledger.sent.iter().any(|(node, _)| *node == 2)).await;
+    drop(terminal);
+    fleet.nothing_left().await;
+    let mut again = Terminal::connect(&fleet).await;
+    again.ask("s", "status-query", 60_000).await;
+    let (kind, _) = again.hear_final("s").await;
+    assert!(kind == "refused" || kind == "failed", "{kind}");
+    assert!(start.elapsed() < Duration::from_secs(4), "the first deadline holds, not the second");
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn a_node_that_drains_mid_session_ends_what_it_has_and_gets_nothing_new() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(2, Way::Pause);
+        let mut terminal = Terminal::connect(&fleet).await;
+        terminal.ask("old", "return-request", 9000).await;
+        assert_eq!(terminal.hear().await.0, "event");
+        fleet.tell(&[(2, "Terminating"), (3, "Ready")]).await;
+        for number in 0..4 {
+            let id = format!("new{number}");
+            terminal.ask(&id, "return-request", 9000).await;
+            assert_eq!(terminal.hear_final(&id).await.0, "served");
+        }
+        assert_eq!((fleet.sent_to(2), fleet.sent_to(3)), (1, 4));
+        fleet.go.notify_one();
+        assert_eq!(terminal.hear_final("old").await, ("served".into(), ANSWER[1..].concat()));
+        fleet.nothing_left().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_waits_when_its_writer_drains_is_still_answered() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Wait);
+    let mut terminal = Terminal::connect(&fleet).await;
+    terminal.ask("w", "return-request", 700).await;
+    fleet.until("it waits for the writer", |ledger| ledger.sent.iter().any(|(node, _)| *node == 2)).await;
+    fleet.tell(&[(2, "Gone"), (3, "Ready")]).await;
+    assert_eq!(terminal.hear_final("w").await.0, "failed");
+    assert_eq!(fleet.sent_to(3), 0, "it may have run at the first");
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn bad_messages_are_answered_and_bad_frames_end_the_session_with_their_code() {
+    let fleet = Fleet::start(true).await;
+    let mut terminal = Terminal::connect(&fleet).await;
+    for bad in ["", "[]", "{\"type\":\"request\"}", "{\"type\":\"request\",\"id\":\"a/b\"}"] {
+        terminal.say(bad).await;
+        assert_eq!(terminal.hear().await.0, "error", "{bad}");
+    }
+    for (from, to) in [("acme", "nobody"), ("return-request", "no-class"), ("prompt_len", "prompt")] {
+        terminal.say(&ask("bad", "return-request", 500).replace(from, to)).await;
+        assert_eq!(terminal.hear().await.0, "failed", "{to}");
+    }
+    terminal.ask("good", "status-query", 5000).await;
+    assert_eq!(terminal.hear_final("good").await.0, "served", "the session goes on");
+    terminal.0.send(Message::Binary(vec![1].into())).await.unwrap();
+    assert_eq!(terminal.hear().await, ("close".into(), "1003".into()));
+
+    let mut big = Terminal::connect(&fleet).await;
+    big.say(&"x".repeat(5000)).await;
+    assert_eq!(big.hear().await, ("close".into(), "1009".into()));
+
+    // A frame that is not masked breaks the protocol.
+    let mut raw = tokio::net::TcpStream::connect(&fleet.sessions).await.unwrap();
+    let head = "GET /v1/sessions HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    raw.write_all(head.as_bytes()).await.unwrap();
+    raw.write_all(b"\x81\x02hi").await.unwrap();
+    let mut all = Vec::new();
+    tokio::time::timeout(Duration::from_secs(5), raw.read_to_end(&mut all)).await.unwrap().unwrap();
+    let close: &[u8] = &[0x88];
+    let at = all.windows(4).position(|it| it == b"\r\n\r\n").expect("a head") + 4;
+    assert!(all[at..].starts_with(close) && all[at + 2..at + 4] == 1002u16.to_be_bytes(), "{all:?}");
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn a_cancelled_request_leaves_nothing() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Wait);
+    let mut terminal = Terminal::connect(&fleet).await;
+    terminal.ask("c", "status-query", 9000).await;
+    fleet.until("it waits for the writer", |ledger| ledger.sent.iter().any(|(node, _)| *node == 2)).await;
+    terminal.say(r#"{"type":"cancel","id":"c"}"#).await;
+    assert_eq!(terminal.hear_final("c").await.0, "failed");
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn at_the_end_running_requests_are_answered_before_the_session_closes() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Pause);
+    let mut terminal = Terminal::connect(&fleet).await;
+    let mut idle = Terminal::connect(&fleet).await;
+    terminal.ask("last", "return-request", 9000).await;
+    assert_eq!(terminal.hear().await.0, "event");
+    fleet.drain().await;
+    assert_eq!(idle.hear().await, ("close".into(), "1001".into()));
+    terminal.ask("after", "return-request", 9000).await;
+    let (kind, text) = terminal.hear().await;
+    assert_eq!(kind, "refused", "{text}");
+    fleet.go.notify_one();
+    assert_eq!(terminal.hear_final("last").await, ("served".into(), ANSWER[1..].concat()));
+    assert_eq!(terminal.hear().await, ("close".into(), "1001".into()));
+    fleet.nothing_left().await;
+    tokio::time::timeout(Duration::from_secs(5), fleet.over).await.expect("the fronts end").unwrap();
+}
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,418 @@
+//! Stand-in readers and writers on loopback, and a dispatcher put together as `main` does it.
+
+#![allow(dead_code)]
+
+use axum::body::Body;
+use axum::extract::ws::{Message, WebSocket, WebSocketUpgrade};
+use axum::extract::{Path, Request, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post};
+use axum::Router;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use miniserde::json;
+use quartzhall::dispatch::{self, Clock, Core, Door, Event};
+use quartzhall::fronts::{health, listener, platform, websocket};
+use quartzhall::settings::{MemberList, Profile, Sessions, Site};
+use quartzhall::{discovery, nodes};
+use slog::{o, Discard, Logger};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio_tungstenite::tungstenite::Message as Frame;
+use tokio_tungstenite::{MaybeTlsStream, WebSocketStream};
+
+pub const PROFILE: &str = r#"{"balancers":1,"classes":[
+ {"name":"status-query","aim":1500.0,"repeat":"free","group":"all","key_ttl":0.0,"worth":3.0},
+ {"name":"return-request","aim":2500.0,"repeat":"single_shot","group":"all","key_ttl":0.0,"worth":2.0}],
+ "dcs":["east"],"family_info":{"role_by_kind":["read","write"],"tokens_by_kind":[200000,100000],
+ "release_within":1000.0,"token_aim":[60.0,80.0]},
+ "limits":{"most_tries":5,"cancel":true,"conn_idle":30000.0,"dial_timeout":250.0,"retry_after":true,
+ "max_retry_after":500.0,"second_copies":true,"most_held":100},
+ "machine_types":["prefill","decode"],"reporting":{"via":"answers"},
+ "rules":{"fall":1500.0,"answer_slack":16.0,"drain_grace":250.0,"cold_from":0.3,"tip_multiple":2.5},
+ "tenants":[{"name":"acme","quota_per_s":100.0}],"tick":4.0,"zone":"east"}"#;
+
+pub const ANSWER: [&str; 3] = ["data: {\"n\":1}\n\n", "data: {\"n\":\"ä\"}\n\n", "data: [DONE]\n\n"];
+
+/// How a node behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    Serve,
+    /// It holds its place and says nothing.
+    Wait,
+    /// It says that it failed.
+    Fail,
+    /// It turns all away.
+    Full,
+    /// It breaks off after a first event, or before one where it reads.
+    Break,
+    /// It sends a first event and goes on once `go` is told.
+    Pause,
+    /// It answers what makes no sense.
+    Garbage,
+}
+
+/// What all nodes hold, and what was sent to them.
+#[derive(Default)]
+pub struct Ledger {
+    pub states: BTreeSet<String>,
+    pub places: usize,
+    pub sent: Vec<(usize, String)>,
+    pub released: usize,
+}
+
+struct Node {
+    number: usize,
+    reads: bool,
+    way: Mutex<Way>,
+    ledger: Arc<Mutex<Ledger>>,
+    go: Arc<Notify>,
+}
+
+struct Place(Arc<Mutex<Ledger>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.lock().unwrap().places -= 1;
+    }
+}
+
+/// What a node says; `None` on the channel without `End`: it breaks off.
+enum Say {
+    Read,
+    Event(&'static str),
+    End,
+    Full(bool),
+    Failed,
+    Garbage,
+}
+
+impl Node {
+    /// Runs one request; what it says comes on the channel.
+    async fn run(self: Arc<Self>, name: String, say: mpsc::Sender<Say>) {
+        self.ledger.lock().unwrap().places += 1;
+        let _place = Place(self.ledger.clone());
+        self.ledger.lock().unwrap().sent.push((self.number, name.clone()));
+        let way = *self.way.lock().unwrap();
+        let work = async {
+            match way {
+                Way::Wait => std::future::pending().await,
+                Way::Fail => drop(say.send(Say::Failed).await),
+                Way::Full => drop(say.send(Say::Full(false)).await),
+                Way::Garbage => drop(say.send(Say::Garbage).await),
+                Way::Break if self.reads => {}
+                Way::Serve | Way::Pause if self.reads => {
+                    self.ledger.lock().unwrap().states.insert(name.clone());
+                    let _ = say.send(Say::Read).await;
+                }
+                _ => {
+                    if !self.ledger.lock().unwrap().states.remove(&name) {
+                        return drop(say.send(Say::Full(true)).await);
+                    }
+                    let _ = say.send(Say::Event(ANSWER[0])).await;
+                    if way == Way::Break {
+                        return;
+                    }
+                    if way == Way::Pause {
+                        self.go.notified().await;
+                    }
+                    let _ = say.send(Say::Event(ANSWER[1])).await;
+                    let _ = say.send(Say::Event(ANSWER[2])).await;
+                    let _ = say.send(Say::End).await;
+                }
+            }
+        };
+        tokio::select! {
+            () = work => {}
+            () = say.closed() => {}
+        }
+    }
+
+    fn release(&self, name: &str) {
+        let mut ledger = self.ledger.lock().unwrap();
+        ledger.states.remove(name);
+        ledger.released += 1;
+    }
+}
+
+async fn http(State(node): State<Arc<Node>>, request: Request) -> Response {
+    let name = request.headers()["x-trace-id"].to_str().unwrap().to_owned();
+    axum::body::to_bytes(request.into_body(), 1 << 20).await.unwrap();
+    let (say, mut said) = mpsc::channel(1);
+    tokio::spawn(node.run(name, say));
+    match said.recv().await {
+        Some(Say::Read) => (StatusCode::ACCEPTED, r#"{"cached_tokens":7}"#).into_response(),
+        Some(Say::Full(gone)) => {
+            let code = if gone { StatusCode::GONE } else { StatusCode::SERVICE_UNAVAILABLE };
+            (code, [("x-never-ran", "1")]).into_response()
+        }
+        Some(Say::Event(first)) => {
+            let stream = futures_util::stream::unfold((Some(first), said), |(first, mut said)| async move {
+                let next = match first {
+                    Some(first) => Some(Say::Event(first)),
+                    None => said.recv().await,
+                };
+                match next {
+                    Some(Say::Event(data)) => Some((Ok(Bytes::from(data)), (None, said))),
+                    Some(_) => None,
+                    None => Some((Err(io::Error::other("broken")), (None, said))),
+                }
+            });
+            ([("content-type", "text/event-stream")], Body::from_stream(stream)).into_response()
+        }
+        Some(Say::Garbage) => (StatusCode::OK, "\u{1}what?").into_response(),
+        Some(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        // The connection ends without an answer.
+        None => Response::new(Body::from_stream(futures_util::stream::once(async {
+            Err::<Bytes, _>(io::Error::other("broken"))
+        }))),
+    }
+}
+
+async fn session(node: Arc<Node>, mut socket: WebSocket) {
+    while let Some(Ok(message)) = socket.recv().await {
+        let Message::Text(text) = message else { continue };
+        let told: BTreeMap<String, json::Value> = json::from_str(&text).unwrap();
+        let word = |key: &str| match told.get(key) {
+            Some(json::Value::String(word)) => word.clone(),
+            _ => String::new(),
+        };
+        let id = word("id");
+        let put = |rest: &str| Message::Text(format!("{{\"id\":{},{rest}}}", json::to_string(&id)).into());
+        if word("type") == "release" {
+            node.release(&id);
+            socket.send(put(r#""type":"released""#)).await.ok();
+            continue;
+        }
+        let (say, mut said) = mpsc::channel(1);
+        tokio::spawn(node.clone().run(id.clone(), say));
+        loop {
+            let say = tokio::select! {
+                say = said.recv() => say,
+                // Nothing but a close comes while a request is out.
+                _ = socket.recv() => return,
+            };
+            let (message, over) = match say {
+                None => return,
+                Some(Say::Event(data)) => {
+                    (put(&format!(r#""type":"event","data":{}"#, json::to_string(data))), false)
+                }
+                Some(Say::Read) => (put(r#""type":"read","cached_tokens":7,"load":"TEXT inflight=1""#), true),
+                Some(Say::End) => (put(r#""type":"served""#), true),
+                Some(Say::Full(gone)) => {
+                    (put(&format!(r#""type":"refused","never_ran":true,"state_gone":{gone}"#)), true)
+                }
+                Some(Say::Failed) => (put(r#""type":"failed""#), true),
+                Some(Say::Garbage) => (Message::Text("[what".into()), true),
+            };
+            if socket.send(message).await.is_err() {
+                return;
+            }
+            if over {
+                break;
+            }
+        }
+    }
+}
+
+/// The stand-ins and the dispatcher before them.
+pub struct Fleet {
+    pub door: Door,
+    pub ledger: Arc<Mutex<Ledger>>,
+    pub go: Arc<Notify>,
+    pub platform: String,
+    pub sessions: String,
+    pub stop: watch::Sender<bool>,
+    pub over: tokio::task::JoinHandle<()>,
+    nodes: Vec<Arc<Node>>,
+    addresses: Vec<String>,
+    site: Mutex<Site>,
+    log: Logger,
+}
+
+async fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+impl Fleet {
+    /// Two readers (0, 1) and two writers (2, 3), over HTTP/1.1 or sessions. Writer 3 is not told of at first.
+    pub async fn start(over_sessions: bool) -> Fleet {
+        let log = Logger::root(Discard, o!());
+        let (ledger, go) = (Arc::new(Mutex::new(Ledger::default())), Arc::new(Notify::new()));
+        let (mut standing, mut addresses) = (Vec::new(), Vec::new());
+        for number in 0..4 {
+            let way = Mutex::new(Way::Serve);
+            let (ledger, go) = (ledger.clone(), go.clone());
+            let node = Arc::new(Node { number, reads: number < 2, way, ledger, go });
+            let lease = |State(node): State<Arc<Node>>, Path(name): Path<String>| async move {
+                node.release(&name);
+                StatusCode::NO_CONTENT
+            };
+            let up = |State(node): State<Arc<Node>>, upgrade: WebSocketUpgrade| async move {
+                upgrade.on_upgrade(move |socket| session(node, socket))
+            };
+            let routes = Router::new()
+                .route("/v1/chat/completions", post(http))
+                .route("/kv/leases/{name}", delete(lease))
+                .route("/v1/sessions", get(up))
+                .with_state(node.clone());
+            let (listener, address) = bind().await;
+            tokio::spawn(async move { axum::serve(listener, routes).await });
+            standing.push(node);
+            addresses.push(address);
+        }
+        let profile: Profile = json::from_str(PROFILE).unwrap();
+        let (site, second) = (Site::new(&profile).unwrap(), Site::new(&profile).unwrap());
+        let clock = Clock::start();
+        let (door, inbox) = dispatch::door();
+        let core = Core::new(site.settings.clone(), 100, 7, clock.now(), log.clone());
+        let (commands, commanded) = mpsc::channel(64);
+        let speak = if over_sessions { addresses.iter().cloned().collect() } else { Default::default() };
+        tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, 100, speak, log.clone()));
+        tokio::spawn(dispatch::run(core, clock, inbox, commands));
+        let (stop, stopped) = watch::channel(false);
+        let site = Arc::new(site);
+        let options = r#"{"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
+        let options = Arc::new(Sessions::parse(options).unwrap());
+        let (listener, sessions) = bind().await;
+        let shared =
+            websocket::Shared::new(door.clone(), site.clone(), options, 1, stopped.clone(), log.clone());
+        let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
+        let front = listener::serve(listener, routes, 50, stopped.clone(), log.clone());
+        let (listener, platform) = bind().await;
+        let routes = platform::routes(door.clone(), site, 10_000, log.clone());
+        let thin = listener::serve(listener, routes, 50, stopped, log.clone());
+        let over = tokio::spawn(async move {
+            tokio::join!(front, thin);
+            shared.over().await;
+        });
+        let site = Mutex::new(second);
+        let fleet =
+            Fleet { door, ledger, go, platform, sessions, stop, over, nodes: standing, addresses, site, log };
+        fleet.tell(&[(0, "Ready"), (1, "Ready"), (2, "Ready")]).await;
+        fleet.door.becomes(dispatch::Readiness::Ready).await;
+        fleet
+    }
+
+    pub fn way(&self, number: usize, way: Way) {
+        *self.nodes[number].way.lock().unwrap() = way;
+    }
+
+    /// Discovery tells of changes.
+    pub async fn tell(&self, phases: &[(usize, &str)]) {
+        let line = |(number, phase): &(usize, &str)| {
+            let kind = if *number < 2 { "prefill" } else { "decode" };
+            let address = &self.addresses[*number];
+            format!(
+                r#"{{"id":"n{number}","host_port":"{address}","locality":"east","flavor":"{kind}","cell":1,"phase":"{phase}"}}"#
+            )
+        };
+        let lines: Vec<String> = phases.iter().map(line).collect();
+        let text = format!(r#"{{"revision":1,"complete":false,"members":[{}]}}"#, lines.join(","));
+        let list: MemberList = discovery::parse(text.as_bytes()).unwrap();
+        let event = discovery::members(&mut self.site.lock().unwrap(), &list, &self.log);
+        self.door.tell(event).await;
+    }
+
+    pub fn sent_to(&self, number: usize) -> usize {
+        self.ledger.lock().unwrap().sent.iter().filter(|(node, _)| *node == number).count()
+    }
+
+    /// Waits until something holds at the nodes.
+    pub async fn until(&self, what: &str, holds: impl Fn(&Ledger) -> bool) {
+        let waits = async {
+            while !holds(&self.ledger.lock().unwrap()) {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(10), waits)
+            .await
+            .unwrap_or_else(|_| panic!("never: {what}"));
+    }
+
+    /// Within 1 s nothing is left: no state, no place, nothing in the core's table.
+    pub async fn nothing_left(&self) {
+        let waits = async {
+            self.door.empty().await;
+            self.until("nothing held", |ledger| ledger.states.is_empty() && ledger.places == 0).await;
+        };
+        let left = || {
+            let ledger = self.ledger.lock().unwrap();
+            format!("{:?}, {} places, {} open", ledger.states, ledger.places, self.door.open())
+        };
+        tokio::time::timeout(Duration::from_secs(1), waits)
+            .await
+            .unwrap_or_else(|_| panic!("left: {}", left()));
+    }
+
+    pub async fn drain(&self) {
+        self.door.tell(Event::Drain).await;
+        self.door.becomes(dispatch::Readiness::Draining).await;
+        self.stop.send(true).unwrap();
+    }
+}
+
+/// A terminal and its session.
+pub struct Terminal(pub WebSocketStream<MaybeTlsStream<TcpStream>>);
+
+impl Terminal {
+    pub async fn connect(fleet: &Fleet) -> Terminal {
+        let url = format!("ws://{}/v1/sessions", fleet.sessions);
+        Terminal(tokio_tungstenite::connect_async(url).await.unwrap().0)
+    }
+
+    pub async fn say(&mut self, text: &str) {
+        self.0.send(Frame::Text(text.into())).await.unwrap();
+    }
+
+    pub async fn ask(&mut self, id: &str, class: &str, expires: u32) {
+        self.say(&ask(id, class, expires)).await;
+    }
+
+    /// The next message: its type, and the whole of it.
+    pub async fn hear(&mut self) -> (String, String) {
+        loop {
+            let next = tokio::time::timeout(Duration::from_secs(10), self.0.next()).await.expect("a message");
+            match next {
+                Some(Ok(Frame::Text(text))) => {
+                    let said: BTreeMap<String, json::Value> = json::from_str(&text).unwrap();
+                    let Some(json::Value::String(kind)) = said.get("type") else { panic!("{text}") };
+                    return (kind.clone(), text.to_string());
+                }
+                Some(Ok(Frame::Close(frame))) => {
+                    return ("close".into(), frame.map_or(0, |frame| frame.code.into()).to_string());
+                }
+                Some(Ok(_)) => {}
+                other => return ("end".into(), format!("{other:?}")),
+            }
+        }
+    }
+
+    /// The final message of a request, and the text of its events.
+    pub async fn hear_final(&mut self, id: &str) -> (String, String) {
+        let mut text = String::new();
+        loop {
+            let (kind, whole) = self.hear().await;
+            assert!(whole.contains(&format!("\"{id}\"")), "{whole}");
+            if kind != "event" {
+                return (kind, text);
+            }
+            let said: BTreeMap<String, json::Value> = json::from_str(&whole).unwrap();
+            let Some(json::Value::String(data)) = said.get("data") else { panic!("{whole}") };
+            text.push_str(data);
+        }
+    }
+}
+
+pub fn ask(id: &str, class: &str, expires: u32) -> String {
+    format!(
+        r#"{{"type":"request","id":"{id}","class":"{class}","tenant":"acme","session":"7f3a","expires_in_ms":{expires},"prompt_len":500,"max_out":100,"body":"{{}}"}}"#
+    )
+}
