Never cut a stream by a cancel that crosses with its first event

Ruled out by reading: the silence limit (30 s, no stream was that old), the head time-out (90 s), the drain check (it acts before the body is taken only). The core hands the stream to the client, then nodes cut it. Lines at fault: src/nodes/mod.rs, the select on 'cancelled'; src/nodes/http.rs and sessions.rs read a stream on though its receiver was gone (a silent node kept its place). Now a begun stream ends only with its receiver. Tests: tests/nodes.rs (both failed before), with tests of the core, the platform front and the parsers.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -151,7 +151,7 @@
         /// How long the first event is waited for.
         timeout: Duration,
     },
-    /// Stop waiting for an attempt.
+    /// Stop waiting for an attempt whose first event the core has not been told of.
     Cancel {
         /// The request.
         id: RequestId,
@@ -444,10 +444,7 @@
     fn gone(&mut self, now: Time, id: RequestId, fate: Option<oneshot::Sender<bool>>) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.fate = fate;
-        if let Some(attempt) = held.begun.filter(|at| held.attempts[*at as usize].out) {
-            // Its stream has nobody left to read it.
-            self.commands.push(Command::Cancel { id, attempt });
-        }
+        // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
         if !std::mem::replace(&mut held.closed, true) {
             held.answer = None;
             self.step(now, api::Event::Gone { id });
@@ -695,6 +692,13 @@
     open: watch::Sender<usize>,
 }
 
+impl Inbox {
+    /// The next event; `None` when every door is gone.
+    pub async fn next(&mut self) -> Option<Event> {
+        self.events.recv().await
+    }
+}
+
 /// Makes the queue of a core.
 pub fn door() -> (Door, Inbox) {
     let (events, queue) = mpsc::channel(QUEUE);
@@ -716,7 +720,7 @@
         };
         tokio::select! {
             biased;
-            event = inbox.events.recv() => match event {
+            event = inbox.next() => match event {
                 Some(event) => core.hear(clock.now(), event),
                 None => break,
             },
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -3,6 +3,7 @@
 use crate::api::{Load, RequestId, Status};
 use crate::dispatch::{Door, Event, Piece, Work};
 use bytes::Bytes;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -49,12 +50,13 @@
     id: RequestId,
     attempt: u32,
     pieces: Option<mpsc::Sender<Piece>>,
+    mark: Arc<AtomicBool>,
 }
 
 impl Passing {
     /// For this attempt.
     pub fn new(door: Door, trial: &Trial) -> Self {
-        Passing { door, id: trial.id, attempt: trial.attempt, pieces: None }
+        Passing { door, id: trial.id, attempt: trial.attempt, pieces: None, mark: Arc::default() }
     }
 
     /// Whether a first event came; it stops the time-out.
@@ -62,6 +64,19 @@
         self.pieces.is_some()
     }
 
+    /// Turns true when the core is told of a first event: from then on a cancel comes too late.
+    pub fn mark(&self) -> Arc<AtomicBool> {
+        self.mark.clone()
+    }
+
+    /// Waits until nobody wants the stream any more; for ever while it has not begun.
+    pub async fn abandoned(&self) {
+        match &self.pieces {
+            Some(pieces) => pieces.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Until when the next piece is waited for: the time-out, and later for as long as a node may be silent.
     pub fn limit(&self, until: Instant) -> Instant {
         if self.begun() {
@@ -82,6 +97,7 @@
         let (pieces, stream) = mpsc::channel(PIECES);
         let _ = pieces.try_send(Piece::Data(data)); // the channel is new and empty
         self.pieces = Some(pieces);
+        self.mark.store(true, Ordering::Relaxed);
         self.door.tell(Event::First { id: self.id, attempt: self.attempt, stream }).await;
         true
     }
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -190,7 +190,11 @@
         let mut body = response.into_body();
         let mut tail = Vec::new();
         loop {
-            let frame = match timeout_at(passing.limit(until), body.frame()).await {
+            let next = tokio::select! {
+                next = timeout_at(passing.limit(until), body.frame()) => next,
+                () = passing.abandoned() => return Status::Cancelled.into(),
+            };
+            let frame = match next {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Status::Reset.into(),
                 Ok(None) => break,
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -17,6 +17,7 @@
 use sessions::Sessions;
 use slog::{error, warn, Logger};
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -43,8 +44,7 @@
 }
 
 impl Shared {
-    async fn attempt(&self, trial: &Trial) -> End {
-        let passing = Passing::new(self.door.clone(), trial);
+    async fn attempt(&self, trial: &Trial, passing: Passing) -> End {
         if self.speak_sessions.contains(&*trial.address) {
             self.sessions.attempt(trial, passing).await
         } else {
@@ -105,12 +105,21 @@
                     let (cancel, cancelled) = oneshot::channel::<()>();
                     let shared = shared.clone();
                     let trial = Trial { id, attempt, address, work, timeout };
+                    let passing = Passing::new(shared.door.clone(), &trial);
+                    let begun = passing.mark();
+                    let cancelled = async move {
+                        // A cancel may cross with the first event. The core has then given the stream to the
+                        // client, so that cutting it would lose the request: it ends when it is let go.
+                        if cancelled.await.is_err() || begun.load(Ordering::Relaxed) {
+                            std::future::pending::<()>().await;
+                        }
+                    };
                     let handle = tasks.spawn(async move {
                         let End { status, note, load } = tokio::select! {
                             biased;
-                            end = shared.attempt(&trial) => end,
+                            end = shared.attempt(&trial, passing) => end,
                             // Dropping the exchange closes its connection.
-                            _ = cancelled => Status::Cancelled.into(),
+                            () = cancelled => Status::Cancelled.into(),
                         };
                         let (id, attempt) = (trial.id, trial.attempt);
                         shared.door.tell(Event::Ended { id, attempt, status, note, load }).await;
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -159,7 +159,11 @@
             Err(_) => return Status::Timeout.into(),
         }
         loop {
-            let message = match timeout_at(passing.limit(until), session.next()).await {
+            let next = tokio::select! {
+                next = timeout_at(passing.limit(until), session.next()) => next,
+                () = passing.abandoned() => return Status::Cancelled.into(),
+            };
+            let message = match next {
                 Ok(Some(Ok(message))) => message,
                 Ok(Some(Err(_)) | None) => return Status::Reset.into(),
                 Err(_) if passing.begun() => return Status::Reset.into(),
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,246 @@
+//! The core by itself: no wire, no clock but the numbers given to it.
+
+use quartzhall::api::{Ask, Entry, Role, State, Status, Time};
+use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
+use quartzhall::settings::{Profile, Site};
+use slog::{o, Discard, Logger};
+use tokio::sync::{mpsc, oneshot};
+
+#[path = "stand/profile.rs"]
+mod profile;
+
+const START: Time = 1_700_000_000_000_000;
+const MS: Time = 1000;
+
+/// A core with its time, and what it commanded.
+struct Bench {
+    core: Core,
+    now: Time,
+    commands: Vec<Command>,
+}
+
+fn member(name: &str, role: Role, state: State) -> Member {
+    let entry = Entry { key: name.len() as u64, role, state, memory: 200_000.0, ..Entry::default() };
+    Member { name: name.into(), address: format!("127.0.0.1:{}", 7000 + name.len()).into(), entry }
+}
+
+impl Bench {
+    fn new(most_held: usize) -> Bench {
+        let profile: Profile = miniserde::json::from_str(profile::PROFILE).unwrap();
+        let settings = Site::new(&profile).unwrap().settings;
+        let log = Logger::root(Discard, o!());
+        let core = Core::new(settings, most_held, 7, START, log);
+        let mut bench = Bench { core, now: START, commands: Vec::new() };
+        assert_eq!(bench.core.readiness(), Readiness::Starting);
+        let members = vec![member("r", Role::Reader, State::Ready), member("ww", Role::Writer, State::Ready)];
+        bench.hear(Event::Members { complete: true, members });
+        assert_eq!(bench.core.readiness(), Readiness::Ready);
+        bench
+    }
+
+    fn hear(&mut self, event: Event) {
+        self.core.hear(self.now, event);
+        self.commands.extend(self.core.commands());
+    }
+
+    /// Lets time pass, waking the core whenever it wants to.
+    fn pass(&mut self, time: Time) {
+        let until = self.now + time;
+        while let Some(due) = self.core.due().filter(|due| *due <= until) {
+            self.now = due.max(self.now + 1);
+            self.core.wake(self.now);
+            self.commands.extend(self.core.commands());
+        }
+        self.now = until;
+    }
+
+    fn ask(&mut self, id: u64, class: usize, name: &str) -> oneshot::Receiver<Answer> {
+        let ask =
+            Ask { id, class, expires_in: 2_000 * MS, prompt: 500.0, max_tokens: 100.0, ..Ask::default() };
+        let work = Work { name: name.into(), target: "/v1/chat/completions".into(), body: "{}".into() };
+        let (answer, answered) = oneshot::channel();
+        self.hear(Event::Request { ask, work, answer });
+        answered
+    }
+
+    fn ended(&mut self, id: u64, attempt: u32, status: Status) {
+        self.hear(Event::Ended { id, attempt, status, note: 0.0, load: None });
+    }
+
+    fn sends(&self) -> usize {
+        self.commands.iter().filter(|command| matches!(command, Command::Send { .. })).count()
+    }
+
+    fn releases(&self) -> usize {
+        self.commands.iter().filter(|command| matches!(command, Command::Release { .. })).count()
+    }
+
+    fn cancels(&self) -> Vec<(u64, u32)> {
+        let cancel = |command: &Command| match command {
+            Command::Cancel { id, attempt } => Some((*id, *attempt)),
+            _ => None,
+        };
+        self.commands.iter().filter_map(cancel).collect()
+    }
+}
+
+#[test]
+fn a_request_goes_through_both_stages_and_leaves_the_table() {
+    let mut bench = Bench::new(10);
+    let mut answered = bench.ask(1, 1, "a");
+    bench.ended(1, 0, Status::Read);
+    assert_eq!(bench.sends(), 2);
+    let (pieces, stream) = mpsc::channel(4);
+    bench.hear(Event::First { id: 1, attempt: 1, stream });
+    let Ok(Answer::Served(mut stream)) = answered.try_recv() else { panic!("not served") };
+    pieces.try_send(Piece::End).unwrap();
+    assert_eq!(stream.try_recv(), Ok(Piece::End));
+    // A stream has no deadline.
+    bench.pass(60_000 * MS);
+    assert_eq!((bench.core.open(), bench.cancels()), (1, vec![]));
+    bench.ended(1, 1, Status::Ok);
+    assert_eq!((bench.core.open(), bench.releases()), (0, 0));
+}
+
+#[test]
+fn a_deadline_brings_one_final_answer_and_ends_all_attempts() {
+    for class in [0, 1] {
+        let mut bench = Bench::new(10);
+        let mut answered = bench.ask(1, class, "a");
+        bench.pass(1_980 * MS);
+        assert!(answered.try_recv().is_err(), "not before its time");
+        bench.pass(40 * MS);
+        assert!(matches!(answered.try_recv(), Ok(Answer::Refused(_) | Answer::Failed)));
+        for (id, attempt) in bench.cancels() {
+            bench.ended(id, attempt, Status::Cancelled);
+        }
+        // The read may have ended well as it was cancelled: its state is let go, and then all is forgotten.
+        assert_eq!((bench.core.open(), bench.releases()), (1, 1));
+        bench.hear(Event::Released(1));
+        assert_eq!(bench.core.open(), 0);
+    }
+}
+
+#[test]
+fn a_name_in_flight_is_no_second_request() {
+    let mut bench = Bench::new(10);
+    let mut first = bench.ask(1, 0, "same");
+    assert!(matches!(bench.ask(2, 0, "same").try_recv(), Ok(Answer::Duplicate)));
+    assert_eq!((bench.core.open(), bench.sends()), (1, 1));
+    assert!(first.try_recv().is_err());
+    // While the client's leaving is being cleaned up, the name is still in use at the nodes.
+    bench.hear(Event::Gone { id: 1, fate: None });
+    assert!(matches!(bench.ask(3, 0, "same").try_recv(), Ok(Answer::Duplicate)));
+    bench.ended(1, 0, Status::Cancelled);
+    bench.hear(Event::Released(1));
+    assert!(bench.ask(4, 0, "same").try_recv().is_err(), "taken");
+}
+
+#[test]
+fn more_than_may_be_held_is_refused_at_once() {
+    let mut bench = Bench::new(1);
+    let _first = bench.ask(1, 0, "a");
+    assert!(matches!(bench.ask(2, 1, "b").try_recv(), Ok(Answer::Refused(_))));
+    assert_eq!(bench.sends(), 1);
+}
+
+#[test]
+fn a_state_that_a_broken_read_may_have_left_is_let_go_in_time() {
+    let mut bench = Bench::new(10);
+    let _answered = bench.ask(1, 1, "a");
+    // Nobody can take the request any more: it waits without an attempt.
+    let members = vec![member("r", Role::Reader, State::Draining)];
+    bench.hear(Event::Members { complete: false, members });
+    bench.ended(1, 0, Status::Reset);
+    assert_eq!((bench.sends(), bench.releases()), (1, 0));
+    bench.pass(1_000 * MS);
+    assert_eq!(bench.releases(), 1);
+}
+
+#[test]
+fn a_state_is_not_let_go_while_a_writer_waits_for_it() {
+    let mut bench = Bench::new(10);
+    let _answered = bench.ask(1, 1, "a");
+    bench.ended(1, 0, Status::Read);
+    bench.pass(1_500 * MS);
+    assert_eq!((bench.sends(), bench.releases()), (2, 0));
+}
+
+#[test]
+fn nothing_is_sent_to_a_node_that_leaves() {
+    let mut bench = Bench::new(10);
+    let _answered = bench.ask(1, 0, "a");
+    let members = vec![member("ww", Role::Writer, State::Draining)];
+    bench.hear(Event::Members { complete: false, members });
+    let barred = |command: &Command| matches!(command, Command::Bar { barred: true, .. });
+    assert!(bench.commands.iter().any(barred), "what waits for a connection is told");
+    bench.ended(1, 0, Status::Read);
+    bench.pass(500 * MS);
+    assert_eq!(bench.sends(), 1);
+    assert_eq!(bench.core.readiness(), Readiness::Starting);
+}
+
+#[test]
+fn who_leaves_is_told_whether_the_request_may_have_run() {
+    for (reads, status, ran) in [
+        (true, Status::Cancelled, false),
+        (false, Status::Full, false),
+        (false, Status::ConnectFailed, false),
+        (false, Status::Cancelled, true),
+        (false, Status::Reset, true),
+    ] {
+        let mut bench = Bench::new(10);
+        let _answered = bench.ask(1, 1, "a");
+        let attempt = u32::from(!reads);
+        if !reads {
+            bench.ended(1, 0, Status::Read);
+        }
+        let (fate, mut told) = oneshot::channel();
+        bench.hear(Event::Gone { id: 1, fate: Some(fate) });
+        bench.ended(1, attempt, status);
+        bench.hear(Event::Released(1));
+        assert_eq!(told.try_recv(), Ok(ran), "{status:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_comes_after_the_end_is_nobodys() {
+    let mut bench = Bench::new(10);
+    let mut answered = bench.ask(1, 1, "a");
+    bench.ended(1, 0, Status::Read);
+    bench.pass(2_100 * MS);
+    assert!(matches!(answered.try_recv(), Ok(Answer::Failed)));
+    let (pieces, stream) = mpsc::channel(4);
+    bench.hear(Event::First { id: 1, attempt: 1, stream });
+    assert!(pieces.is_closed(), "its node is read no further");
+    // Outcomes of attempts that never were, or ended before, change nothing.
+    bench.ended(1, 7, Status::Ok);
+    bench.ended(9, 0, Status::Ok);
+    assert_eq!(bench.sends(), 2);
+}
+
+#[test]
+fn draining_is_told_until_the_end() {
+    let mut bench = Bench::new(10);
+    bench.hear(Event::Drain);
+    assert_eq!(bench.core.readiness(), Readiness::Draining);
+    assert!(bench.ask(1, 0, "a").try_recv().is_err(), "what still comes is served");
+    assert_eq!(bench.sends(), 1);
+}
+
+/// A full queue loses nothing: a client that leaves then is told of all the same.
+#[tokio::test]
+async fn a_full_queue_drops_nothing() {
+    let (door, inbox) = dispatch::door();
+    for _ in 0..10_000 {
+        door.post(Event::ListFailed);
+    }
+    let profile: Profile = miniserde::json::from_str(profile::PROFILE).unwrap();
+    let settings = Site::new(&profile).unwrap().settings;
+    let clock = dispatch::Clock::start();
+    let core = Core::new(settings, 10, 7, clock.now(), Logger::root(Discard, o!()));
+    door.post(Event::Drain);
+    let (commands, _commanded) = mpsc::channel(16);
+    tokio::spawn(dispatch::run(core, clock, inbox, commands));
+    door.becomes(Readiness::Draining).await;
+}
--- /dev/null
+++ b/tests/nodes.rs
@@ -0,0 +1,133 @@
+//! The node side alone: a test stands in the core's place.
+
+mod stand;
+
+use quartzhall::api::{RequestId, Status};
+use quartzhall::dispatch::{Command, Event, Inbox, Piece, Work};
+use stand::{node_side, Fleet, Way, ANSWER};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+fn work(name: &str) -> Work {
+    Work { name: name.into(), target: "/v1/chat/completions".into(), body: "{}".into() }
+}
+
+fn send(id: RequestId, address: &str) -> Command {
+    let (work, timeout) = (work(&format!("n{id}")), Duration::from_secs(5));
+    Command::Send { id, attempt: 0, address: address.into(), work, timeout }
+}
+
+async fn next(inbox: &mut Inbox) -> Event {
+    timeout(Duration::from_secs(10), inbox.next()).await.expect("an event").expect("an open queue")
+}
+
+async fn ended(inbox: &mut Inbox) -> Status {
+    match next(inbox).await {
+        Event::Ended { status, .. } => status,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A cancel can cross with the first event: the core has handed the stream to the client when the cancel
+/// arrives. A stream that has begun is not withdrawn; cutting it would lose the request.
+#[tokio::test]
+async fn a_cancel_that_crosses_with_the_first_event_cuts_no_stream() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
+        let (commands, mut inbox) = node_side(&speak);
+        commands.send(send(1, &fleet.addresses[0])).await.unwrap();
+        assert_eq!(ended(&mut inbox).await, Status::Read);
+        fleet.way(2, Way::Pause);
+        commands.send(send(1, &fleet.addresses[2])).await.unwrap();
+        let Event::First { mut stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+        commands.send(Command::Cancel { id: 1, attempt: 0 }).await.unwrap();
+        // Once a later command has been done, so has the cancel.
+        let probe = Command::Release { id: 9, name: "none".into(), addresses: vec![] };
+        commands.send(probe).await.unwrap();
+        assert!(matches!(next(&mut inbox).await, Event::Released(9)));
+        fleet.go.notify_one();
+        let mut text = Vec::new();
+        while let Some(Piece::Data(data)) = stream.recv().await {
+            text.extend_from_slice(&data);
+        }
+        assert_eq!(String::from_utf8(text).unwrap(), ANSWER.concat());
+        assert_eq!(ended(&mut inbox).await, Status::Ok);
+    }
+}
+
+/// A stream that nobody wants ends at once, also while its node is silent.
+#[tokio::test]
+async fn a_stream_that_is_dropped_frees_its_node() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
+        let (commands, mut inbox) = node_side(&speak);
+        commands.send(send(1, &fleet.addresses[0])).await.unwrap();
+        assert_eq!(ended(&mut inbox).await, Status::Read);
+        fleet.way(2, Way::Pause);
+        commands.send(send(1, &fleet.addresses[2])).await.unwrap();
+        let Event::First { stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+        drop(stream);
+        assert_eq!(ended(&mut inbox).await, Status::Cancelled);
+        fleet.nothing_left().await;
+    }
+}
+
+/// Nothing goes to a node that was barred while the send waited for a connection, and leases still do.
+#[tokio::test]
+async fn a_send_that_waits_when_its_node_is_barred_is_not_sent() {
+    let fleet = Fleet::start(false).await;
+    let (commands, mut inbox) = node_side(&[]);
+    let address = &fleet.addresses[0];
+    commands.send(Command::Bar { address: address.as_str().into(), barred: true }).await.unwrap();
+    commands.send(send(1, address)).await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::ConnectFailed);
+    assert_eq!(fleet.sent_to(0), 0);
+    let addresses = vec![address.as_str().into()];
+    commands.send(Command::Release { id: 2, name: "x".into(), addresses }).await.unwrap();
+    assert!(matches!(next(&mut inbox).await, Event::Released(2)));
+    assert_eq!(fleet.ledger.lock().unwrap().released, 1);
+}
+
+/// A refused connection proves that nothing ran; a lease call goes on to a node that can be reached.
+#[tokio::test]
+async fn a_refused_connection_never_ran_and_a_lease_call_tries_the_next_node() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let nowhere = closed.local_addr().unwrap().to_string();
+        drop(closed);
+        let speak = [vec![nowhere.clone()], fleet.addresses.clone()].concat();
+        let (commands, mut inbox) = node_side(if over_sessions { &speak } else { &[] });
+        commands.send(send(1, &nowhere)).await.unwrap();
+        assert_eq!(ended(&mut inbox).await, Status::ConnectFailed);
+        let addresses = vec![nowhere.as_str().into(), fleet.addresses[1].as_str().into()];
+        commands.send(Command::Release { id: 2, name: "x".into(), addresses }).await.unwrap();
+        assert!(matches!(next(&mut inbox).await, Event::Released(2)));
+        assert_eq!(fleet.ledger.lock().unwrap().released, 1);
+    }
+}
+
+/// A connection that breaks after the request was written may have run: a reset, and it is sent only once.
+#[tokio::test]
+async fn a_connection_that_breaks_after_the_request_is_a_reset_and_is_not_sent_again() {
+    use tokio::io::AsyncReadExt;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (commands, mut inbox) = node_side(&[]);
+    commands.send(send(1, &address)).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n{}") {
+        let mut some = [0; 1024];
+        let read = stream.read(&mut some).await.unwrap();
+        text.extend_from_slice(&some[..read]);
+    }
+    drop(stream);
+    assert_eq!(ended(&mut inbox).await, Status::Reset);
+    let again =
+        std::future::poll_fn(|context| std::task::Poll::Ready(listener.poll_accept(context).is_ready()));
+    assert!(!again.await, "no library resends it");
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,105 @@
+//! Random cuts of valid messages and random garbage against every parser, from fixed seeds: no parser may
+//! panic, and what was cut must not pass for whole.
+
+mod stand;
+
+use quartzhall::api::Ask;
+use quartzhall::fronts::{names, platform, websocket};
+use quartzhall::nodes::{attempt, http, sessions};
+use quartzhall::settings::{Config, Profile, Sessions, Site};
+use quartzhall::{discovery, fronts};
+use quickcheck::{Arbitrary, Gen};
+
+const MEMBERS: &str = r#"{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","cell":3,"phase":"Ready","size":1.0,"up_since_ms":0}]}"#;
+const TAIL: &str = "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n: Endpoint-Load-Metrics: TEXT inflight=7, x0=0.5\n\n";
+const TOLD: &str = r#"{"type":"read","id":"n","cached_tokens":7,"load":"TEXT inflight=7"}"#;
+
+fn site() -> Site {
+    let profile: Profile = miniserde::json::from_str(stand::PROFILE).unwrap();
+    Site::new(&profile).unwrap()
+}
+
+fn config() -> String {
+    let rest = r#""name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:0","seed":"7","limits":{}"#;
+    format!(r#"{{{rest},"known":{MEMBERS},"settings":{}}}"#, stand::PROFILE)
+}
+
+/// Gives every parser the bytes; true where one of the JSON parsers took them.
+fn feed(site: &Site, bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    http::parse_tail(bytes);
+    attempt::parse_load(&text);
+    let _ = platform::parse_props(&text, &mut Ask::default());
+    fronts::names::is_name(&text);
+    names::key(&text);
+    let mut partial = bytes.to_vec();
+    if let Some(whole) = websocket::take_text(&mut partial) {
+        assert_eq!([whole.as_bytes(), &partial].concat(), bytes);
+        assert!(partial.len() < 4);
+    }
+    let told = !matches!(sessions::parse(&text, "n"), sessions::Sense::End(end) if end.status == quartzhall::api::Status::Error);
+    let said = websocket::parse(&text, site).is_ok();
+    told || said
+        || discovery::parse(bytes).is_ok()
+        || Config::parse(&text).is_ok()
+        || Sessions::parse(&text).is_ok()
+}
+
+#[test]
+fn cuts_of_valid_messages_are_errors() {
+    let site = site();
+    let call = stand::ask("n", "status-query", 500);
+    for whole in [MEMBERS, TOLD, &call, &config(), "{\"listen\":null}"] {
+        assert!(feed(&site, whole.as_bytes()), "{whole}");
+        let mut random = Gen::from_size_and_seed(100, 11);
+        for _ in 0..300 {
+            let at = usize::arbitrary(&mut random) % whole.len();
+            assert!(!feed(&site, &whole.as_bytes()[..at]), "cut at {at}: {whole}");
+        }
+    }
+    for at in 0..TAIL.len() {
+        feed(&site, &TAIL.as_bytes()[at..]);
+        feed(&site, &TAIL.as_bytes()[..at]);
+    }
+}
+
+#[test]
+fn garbage_is_no_message() {
+    let (site, call) = (site(), stand::ask("n", "status-query", 500));
+    let mut random = Gen::from_size_and_seed(200, 12);
+    for _ in 0..3000 {
+        let garbage = Vec::<u8>::arbitrary(&mut random);
+        assert!(!feed(&site, &garbage), "{garbage:?}");
+        let mut bent = call.clone().into_bytes();
+        for byte in garbage.iter().take(3) {
+            let at = usize::arbitrary(&mut random) % bent.len();
+            bent[at] = *byte;
+        }
+        feed(&site, &bent);
+        feed(&site, String::arbitrary(&mut random).as_bytes());
+    }
+}
+
+#[test]
+fn what_is_valid_is_read_as_it_is_meant() {
+    let (kept, load) = http::parse_tail(TAIL.as_bytes());
+    let load = load.expect("a report");
+    assert_eq!((kept, load.in_flight, load.memory, load.queue), (4096.0, Some(7.0), Some(0.5), None));
+    assert!(attempt::parse_load("TEXT what=7").is_none() && attempt::parse_load("JSON inflight=7").is_none());
+    assert!(attempt::parse_load("TEXT inflight=inf").is_none());
+    let mut ask = Ask::default();
+    platform::parse_props("prefix=5c,prompt_len=5120,prefix_len=2048,max_out=800,new=1", &mut ask).unwrap();
+    assert_eq!((ask.prefix, ask.prompt, ask.max_tokens), (Some(0x5c), 5120.0, 800.0));
+    assert!(names::is_name("9b1f-03_a.5~") && !names::is_name("..") && !names::is_name("a b"));
+}
+
+/// Discovery that talks nonsense in one line is believed in the others.
+#[test]
+fn a_member_that_makes_no_sense_is_left_out() {
+    let text = MEMBERS.replace("]}", r#",{"id":"s-2","host_port":"nowhere","phase":"Ready"},{"id":"s-3","host_port":"127.0.0.1:2","phase":"Dancing"}]}"#);
+    let list = discovery::parse(text.as_bytes()).unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let event = discovery::members(&mut site(), &list, &log);
+    let quartzhall::dispatch::Event::Members { complete: true, members } = event else { panic!("{event:?}") };
+    assert_eq!(members.len(), 1);
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,169 @@
+//! The platform's HTTP/1.1 from end to end, byte by byte where that matters.
+
+mod stand;
+
+use stand::{Fleet, Way, ANSWER};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: NAME\r\nX-Qos: return-request\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: 2000\r\nX-Props: prefix=5c0f,prompt_len=500,prefix_len=200,max_out=100\r\n";
+
+fn request(name: &str) -> String {
+    format!("{}Content-Length: 2\r\n\r\n{{}}", HEAD.replace("NAME", name))
+}
+
+struct Client(TcpStream);
+
+impl Client {
+    async fn connect(fleet: &Fleet) -> Client {
+        Client(TcpStream::connect(&fleet.platform).await.unwrap())
+    }
+
+    async fn write(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads on until the text ends as given, or the connection does.
+    async fn read_until(&mut self, ends: &str) -> String {
+        let mut all = Vec::new();
+        let mut some = [0; 4096];
+        let reads = async {
+            while !all.ends_with(ends.as_bytes()) || ends.is_empty() {
+                match self.0.read(&mut some).await {
+                    Ok(0) | Err(_) => break,
+                    Ok(read) => all.extend_from_slice(&some[..read]),
+                }
+            }
+        };
+        let whole = tokio::time::timeout(Duration::from_secs(10), reads).await;
+        assert!(whole.is_ok(), "it does not end: {:?}", String::from_utf8_lossy(&all));
+        String::from_utf8_lossy(&all).into_owned()
+    }
+
+    /// One exchange on a connection of its own.
+    async fn exchange(fleet: &Fleet, text: &str) -> String {
+        let mut client = Client::connect(fleet).await;
+        client.write(&text.replacen("Host: x\r\n", "Host: x\r\nConnection: close\r\n", 1)).await;
+        client.read_until("").await
+    }
+}
+
+#[tokio::test]
+async fn a_stream_passes_unchanged_and_the_connection_is_used_again() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        let mut client = Client::connect(&fleet).await;
+        for name in ["a1", "a2"] {
+            client.write(&request(name)).await;
+            let text = client.read_until("0\r\n\r\n").await;
+            assert!(text.starts_with("HTTP/1.1 200") && text.contains("text/event-stream"), "{text}");
+            let body = text.split("\r\n\r\n").nth(1).unwrap().to_owned();
+            assert!(ANSWER.iter().all(|event| text.contains(event)), "{body}");
+        }
+        fleet.nothing_left().await;
+    }
+}
+
+#[tokio::test]
+async fn bad_requests_reach_no_node() {
+    let fleet = Fleet::start(false).await;
+    let good = request("b");
+    for (from, to, code) in [
+        ("X-Trace-Id: b\r\n", "", "400"),
+        ("X-Trace-Id: b\r\n", "X-Trace-Id: a/b\r\n", "400"),
+        ("X-Qos: return-request", "X-Qos: other", "400"),
+        ("X-Customer: acme", "X-Customer: nobody", "400"),
+        ("X-Object: 7f3a\r\n", "", "400"),
+        ("X-Expires-In-Ms: 2000", "X-Expires-In-Ms: soon", "400"),
+        ("prompt_len=500", "prompt_len=-5", "400"),
+        (",max_out=100", "", "400"),
+        ("Content-Length: 2\r\n\r\n{}", "Content-Length: 300000\r\n\r\n", "413"),
+        ("POST /v1/chat/completions", "POST /v2/other", "404"),
+        ("POST /v1/chat/completions", "PUT /v1/chat/completions", "405"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let text = Client::exchange(&fleet, &good.replacen(from, to, 1)).await;
+        assert!(text.starts_with(&format!("HTTP/1.1 {code}")), "{from:?}, {to:?}: {text}");
+    }
+    // A body that names no length and does not end is cut at the limit too.
+    let chunk = format!("{:x}\r\n{}\r\n", 100_000, "x".repeat(100_000));
+    let chunked =
+        format!("{}Transfer-Encoding: chunked\r\n\r\n{}", HEAD.replace("NAME", "c"), chunk.repeat(3));
+    let text = Client::exchange(&fleet, &chunked).await;
+    assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    assert!(fleet.ledger.lock().unwrap().sent.is_empty());
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn a_broken_stream_ends_without_the_last_chunk() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(2, Way::BreakLater);
+        let mut client = Client::connect(&fleet).await;
+        client.write(&request("broken")).await;
+        assert!(client.read_until("\n\n\r\n").await.contains(ANSWER[0]));
+        fleet.go.notify_one();
+        let rest = client.read_until("").await;
+        assert_eq!(rest, "", "no last chunk");
+        fleet.nothing_left().await;
+    }
+}
+
+#[tokio::test]
+async fn refused_failed_and_in_flight_have_their_codes() {
+    let fleet = Fleet::start(false).await;
+    fleet.way(2, Way::Fail);
+    let text = Client::exchange(&fleet, &request("f")).await;
+    assert!(text.starts_with("HTTP/1.1 502"), "{text}");
+    fleet.way(2, Way::Pause);
+    let mut first = Client::connect(&fleet).await;
+    first.write(&request("same")).await;
+    fleet.until("it streams", |ledger| ledger.sent.iter().filter(|(node, _)| *node == 2).count() == 2).await;
+    let text = Client::exchange(&fleet, &request("same")).await;
+    assert!(text.starts_with("HTTP/1.1 409"), "{text}");
+    fleet.go.notify_one();
+    assert!(first.read_until("0\r\n\r\n").await.contains(ANSWER[2]));
+    fleet.way(0, Way::Full);
+    fleet.way(1, Way::Full);
+    let text = Client::exchange(&fleet, &request("r")).await;
+    assert!(text.starts_with("HTTP/1.1 503") && text.to_lowercase().contains("retry-after: 0.5"), "{text}");
+    fleet.nothing_left().await;
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_frees_its_place_before_and_after_the_first_event() {
+    for over_sessions in [false, true] {
+        for way in [Way::Wait, Way::Pause] {
+            let fleet = Fleet::start(over_sessions).await;
+            fleet.way(2, way);
+            let mut client = Client::connect(&fleet).await;
+            client.write(&request("gone")).await;
+            if way == Way::Pause {
+                client.read_until("\n\n\r\n").await;
+            }
+            fleet.until("it is at the writer", |ledger| ledger.sent.len() == 2).await;
+            drop(client);
+            fleet.nothing_left().await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn readiness_and_health_render_the_core() {
+    let fleet = Fleet::start(false).await;
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(Client::exchange(&fleet, &get("/ready")).await.starts_with("HTTP/1.1 200"));
+    fleet.door.tell(quartzhall::dispatch::Event::Drain).await;
+    fleet.door.becomes(quartzhall::dispatch::Readiness::Draining).await;
+    assert!(Client::exchange(&fleet, &get("/ready")).await.starts_with("HTTP/1.1 503"));
+    // While it drains, what still comes on new connections is served.
+    assert!(Client::exchange(&fleet, &request("late")).await.starts_with("HTTP/1.1 200"));
+    let mut idle = Client::connect(&fleet).await;
+    idle.write(&get("/ready")).await;
+    assert!(idle.read_until("draining\n").await.starts_with("HTTP/1.1 503"));
+    fleet.stop.send(true).unwrap();
+    assert_eq!(idle.read_until("").await, "", "an idle connection is closed");
+    tokio::time::timeout(Duration::from_secs(5), fleet.over).await.expect("the fronts end").unwrap();
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod profile;
+
 use axum::body::Body;
 use axum::extract::ws::{Message, WebSocket, WebSocketUpgrade};
 use axum::extract::{Path, Request, State};
@@ -26,16 +28,7 @@
 use tokio_tungstenite::tungstenite::Message as Frame;
 use tokio_tungstenite::{MaybeTlsStream, WebSocketStream};
 
-pub const PROFILE: &str = r#"{"balancers":1,"classes":[
- {"name":"status-query","aim":1500.0,"repeat":"free","group":"all","key_ttl":0.0,"worth":3.0},
- {"name":"return-request","aim":2500.0,"repeat":"single_shot","group":"all","key_ttl":0.0,"worth":2.0}],
- "dcs":["east"],"family_info":{"role_by_kind":["read","write"],"tokens_by_kind":[200000,100000],
- "release_within":1000.0,"token_aim":[60.0,80.0]},
- "limits":{"most_tries":5,"cancel":true,"conn_idle":30000.0,"dial_timeout":250.0,"retry_after":true,
- "max_retry_after":500.0,"second_copies":true,"most_held":100},
- "machine_types":["prefill","decode"],"reporting":{"via":"answers"},
- "rules":{"fall":1500.0,"answer_slack":16.0,"drain_grace":250.0,"cold_from":0.3,"tip_multiple":2.5},
- "tenants":[{"name":"acme","quota_per_s":100.0}],"tick":4.0,"zone":"east"}"#;
+pub use profile::PROFILE;
 
 pub const ANSWER: [&str; 3] = ["data: {\"n\":1}\n\n", "data: {\"n\":\"ä\"}\n\n", "data: [DONE]\n\n"];
 
@@ -51,6 +44,8 @@
     Full,
     /// It breaks off after a first event, or before one where it reads.
     Break,
+    /// It sends a first event and breaks off once `go` is told.
+    BreakLater,
     /// It sends a first event and goes on once `go` is told.
     Pause,
     /// It answers what makes no sense.
@@ -106,7 +101,7 @@
                 Way::Full => drop(say.send(Say::Full(false)).await),
                 Way::Garbage => drop(say.send(Say::Garbage).await),
                 Way::Break if self.reads => {}
-                Way::Serve | Way::Pause if self.reads => {
+                Way::Serve | Way::Pause | Way::BreakLater if self.reads => {
                     self.ledger.lock().unwrap().states.insert(name.clone());
                     let _ = say.send(Say::Read).await;
                 }
@@ -118,9 +113,12 @@
                     if way == Way::Break {
                         return;
                     }
-                    if way == Way::Pause {
+                    if matches!(way, Way::Pause | Way::BreakLater) {
                         self.go.notified().await;
                     }
+                    if way == Way::BreakLater {
+                        return;
+                    }
                     let _ = say.send(Say::Event(ANSWER[1])).await;
                     let _ = say.send(Say::Event(ANSWER[2])).await;
                     let _ = say.send(Say::End).await;
@@ -220,6 +218,17 @@
     }
 }
 
+/// The node side alone, with a test in the core's place.
+pub fn node_side(over_sessions: &[String]) -> (mpsc::Sender<dispatch::Command>, dispatch::Inbox) {
+    let profile: Profile = json::from_str(PROFILE).unwrap();
+    let bounds = Site::new(&profile).unwrap().bounds;
+    let (door, inbox) = dispatch::door();
+    let (commands, commanded) = mpsc::channel(16);
+    let speak = over_sessions.iter().cloned().collect();
+    tokio::spawn(nodes::run(commanded, door, bounds, 10, speak, Logger::root(Discard, o!())));
+    (commands, inbox)
+}
+
 /// The stand-ins and the dispatcher before them.
 pub struct Fleet {
     pub door: Door,
@@ -229,8 +238,8 @@
     pub sessions: String,
     pub stop: watch::Sender<bool>,
     pub over: tokio::task::JoinHandle<()>,
+    pub addresses: Vec<String>,
     nodes: Vec<Arc<Node>>,
-    addresses: Vec<String>,
     site: Mutex<Site>,
     log: Logger,
 }
