Test the program itself: bad files, readiness, SIGTERM; watch in shorter calls

Tests: tests/program.rs starts the real binary; discovery talks nonsense first and the program is ready only after a good list.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -17,9 +17,9 @@
 use tokio::time::{sleep, timeout};
 
 /// How long a watch waits for something new.
-const HOLD: Duration = Duration::from_secs(10);
+const HOLD: Duration = Duration::from_secs(4);
 /// An agent that has not answered so long after it should have is silent: the call is made again.
-const LATE: Duration = Duration::from_millis(1500);
+const LATE: Duration = Duration::from_millis(1000);
 /// Between a failed call and the next.
 const RETRY: Duration = Duration::from_millis(100);
 /// A list is not read beyond this.
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,162 @@
+//! The program itself: its command line, its start, and its end at SIGTERM.
+
+mod stand;
+
+use axum::extract::State;
+use axum::routing::get;
+use axum::Router;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quartzhall");
+
+/// A file that goes when the test does.
+struct File(std::path::PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> File {
+        let path = std::env::temp_dir().join(format!("quartzhall-{}-{name}.json", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A program that does not outlive its test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn config(listen: &str, discovery: &str, known: &str) -> String {
+    let profile = stand::PROFILE;
+    format!(
+        r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{profile}}}"#
+    )
+}
+
+#[test]
+fn bad_files_end_it_with_one_line() {
+    let good = config("127.0.0.1:0", "127.0.0.1:1", "null");
+    let cases = [
+        ("cut", good[..good.len() / 2].to_owned(), "{}".to_owned()),
+        ("word", good.replace("single_shot", "sometimes"), "{}".into()),
+        ("listen", good.replace("127.0.0.1:0", "nowhere"), "{}".into()),
+        ("seed", good.replace("8c1f30d27a5be964", "xyz"), "{}".into()),
+        ("sessions", good.clone(), "{\"listen\":7}".into()),
+        ("bounds", good, "{\"most_requests\":0}".into()),
+    ];
+    for (name, text, sessions) in cases {
+        let (config, sessions) = (File::new(name, &text), File::new(&format!("{name}-ws"), &sessions));
+        let output = Command::new(PROGRAM)
+            .args(["serve", "--config"])
+            .arg(&config.0)
+            .arg("--websocket")
+            .arg(&sessions.0)
+            .output()
+            .unwrap();
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{name}");
+        let lines = error.lines().filter(|line| line.starts_with("quartzhall: ")).count();
+        assert!(lines == 1 && !error.contains("panicked"), "{name}: {error}");
+    }
+}
+
+#[test]
+fn version_and_check_say_what_they_are_asked() {
+    let version = Command::new(PROGRAM).arg("version").output().unwrap();
+    assert_eq!(
+        String::from_utf8_lossy(&version.stdout),
+        concat!("quartzhall ", env!("CARGO_PKG_VERSION"), "\n")
+    );
+    let file = File::new("check", &config("127.0.0.1:0", "127.0.0.1:1", "null"));
+    let check = Command::new(PROGRAM).args(["check", "--config"]).arg(&file.0).output().unwrap();
+    assert!(check.status.success());
+    assert!(String::from_utf8_lossy(&check.stdout).contains("2 classes, 1 tenants"));
+}
+
+async fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+/// The whole answer to a `GET`, once the address answers at all.
+async fn ask(address: &str, path: &str) -> String {
+    let asks = async {
+        loop {
+            if let Ok(mut stream) = TcpStream::connect(address).await {
+                let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+                stream.write_all(text.as_bytes()).await.unwrap();
+                let mut answer = String::new();
+                if stream.read_to_string(&mut answer).await.is_ok() && !answer.is_empty() {
+                    return answer;
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), asks).await.expect("an answer")
+}
+
+async fn until_ready(address: &str, code: &str) {
+    while !ask(address, "/ready").await.starts_with(&format!("HTTP/1.1 {code}")) {}
+}
+
+async fn end(mut running: Running) -> ExitStatus {
+    let waits = tokio::task::spawn_blocking(move || running.0.wait().unwrap());
+    tokio::time::timeout(Duration::from_secs(20), waits).await.expect("it ends").unwrap()
+}
+
+/// Discovery talks nonsense first, then tells of a fleet; the program is ready only then, and ends with 0.
+#[tokio::test]
+async fn it_is_ready_when_it_can_serve_and_drains_at_sigterm() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let list = |State(calls): State<Arc<AtomicUsize>>| async move {
+        match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => "{\"revision\":".to_owned(),
+            1 => r#"{"revision":1,"complete":true,"members":[
+                {"id":"r","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","cell":1,"phase":"Ready"},
+                {"id":"w","host_port":"127.0.0.1:2","locality":"east","flavor":"decode","cell":1,"phase":"Ready"}]}"#
+                .to_owned(),
+            _ => std::future::pending().await,
+        }
+    };
+    let routes = Router::new().route("/v1/endpoints", get(list)).with_state(calls.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let discovery = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    let (listen, sessions, agent) = (free_address().await, free_address().await, free_address().await);
+    let file = File::new("run", &config(&listen, &discovery, "null"));
+    let second = File::new("run-ws", &format!(r#"{{"listen":"{sessions}","agent_check":"{agent}"}}"#));
+    let child = Command::new(PROGRAM)
+        .args(["serve", "--config"])
+        .arg(&file.0)
+        .arg("--websocket")
+        .arg(&second.0)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let running = Running(child);
+    until_ready(&listen, "200").await;
+    assert!(calls.load(Ordering::SeqCst) >= 2, "nonsense was tried again");
+    assert!(ask(&sessions, "/health").await.starts_with("HTTP/1.1 200"));
+    let mut line = String::new();
+    TcpStream::connect(&agent).await.unwrap().read_to_string(&mut line).await.unwrap();
+    assert_eq!(line, "up ready\n");
+    let kill = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", running.0.id())).status().unwrap();
+    assert!(kill.success());
+    assert_eq!(end(running).await.code(), Some(0));
+}
