Keep a writer's state when a second read copy ends before the first token

Ruled out: a state lost at its reader (both outcomes are 'handover'). Fault: src/logic.rs, outcome(): Release for every read that is not wanted. It waits for the first token now, with which the rest goes by itself.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -477,8 +477,9 @@
                 if wanted {
                     request.state_at = Some(server);
                     self.cancel_all(request, |attempt| attempt.stage == Stage::Read);
-                } else {
-                    // A second copy that was read all the same: nobody will take its state.
+                } else if request.begun {
+                    // A second copy that was read all the same: nobody will take its state. Before the first
+                    // token it must wait, for a release would take the state that a writer is sent for.
                     self.act(request, Action::Release { id });
                 }
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -175,6 +175,7 @@
     assert_ne!(first, second);
     let taken = desk.outcome(100, 1, second, Status::Read);
     assert!(taken.contains(&Action::Cancel { id: 100, attempt: 0 }));
+    desk.hear(Event::First { id: 100, attempt: 2 });
     assert!(desk.outcome(100, 0, first, Status::Read).contains(&Action::Release { id: 100 }));
 }
 
@@ -218,3 +219,17 @@
         assert_eq!(sends, copies, "{effect:?}: {later:?}");
     }
 }
+
+/// The read state of one copy is on its way to a writer when the other copy ends: a release then would take
+/// both, and the writer would find none. What is left goes with the first token.
+#[test]
+fn a_second_read_that_ends_takes_no_state_from_the_writer() {
+    let servers = vec![server(1, Role::Reader), server(3, Role::Reader), server(2, Role::Writer)];
+    let mut desk = desk(Effect::Safe, servers);
+    let first = sent_to(&desk.ask(ask(1, 1)), 1).expect("a read");
+    let second = sent_to(&desk.pass(3_000 * MS), 1).expect("a second read");
+    let actions = desk.outcome(1, 0, first, Status::Read);
+    assert_eq!(sent_to(&actions, 1), Some(2));
+    let actions = desk.outcome(1, 1, second, Status::Read);
+    assert!(!actions.contains(&Action::Release { id: 1 }), "{actions:?}");
+}
