Bound the bodies of both fronts by one budget that lasts as long as the body

Seen by reading: the budget of the platform's front ended when the answer began, while core and attempt kept the body until the stream's end; sessions had none (128 sessions x 32 requests x 300 KB). Lines at fault: fronts/platform.rs (_room), fronts/websocket.rs (none), dispatch.rs and nodes (work kept for the stream). A body now carries its room (fronts/room), the core lets it go at the first event and an attempt when it is written. A body that trickles is cut off with 408; a request that finds no room in its time is refused. Also: the wait for a stream's next piece is one function for both wires; duplicates showed the two copies.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -466,6 +466,7 @@
         }
         // With the first event all else that nodes hold for the request goes by itself.
         (held.begun, held.known, held.stray) = (Some(attempt), false, false);
+        held.work.body = Bytes::new(); // nothing is sent for it any more
         self.step(now, api::Event::First { id, attempt });
     }
 
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -4,4 +4,5 @@
 pub mod listener;
 pub mod names;
 pub mod platform;
+pub mod room;
 pub mod websocket;
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{Answer, Door, Piece, Ticket, Work};
 use crate::fronts::health::ready;
 use crate::fronts::names::{is_name, key};
+use crate::fronts::room::{Rooms, MOST_BODY};
 use crate::settings::{micros, Site};
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -19,25 +20,25 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::sync::{mpsc, Semaphore};
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{timeout, Instant};
 
-/// A request's body may have so many bytes.
-pub const MOST_BODY: usize = 256 * 1024;
+/// A body that takes longer than its request may wait is cut off, but not sooner than this.
+const BODY_TIME: Duration = Duration::from_secs(1);
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Shared {
     door: Door,
     site: Arc<Site>,
-    /// Kilobytes of bodies that may be held at once.
-    bodies: Arc<Semaphore>,
+    rooms: Rooms,
     log: Logger,
 }
 
-/// The front's routes. `body_kb` bounds the bodies that are held at once.
-pub fn routes(door: Door, site: Arc<Site>, body_kb: usize, log: Logger) -> Router {
+/// The front's routes. `rooms` bounds the bodies that are held at once.
+pub fn routes(door: Door, site: Arc<Site>, rooms: Rooms, log: Logger) -> Router {
     let door_of_ready = door.clone();
-    let shared = Shared { door, site, bodies: Arc::new(Semaphore::new(body_kb)), log };
+    let shared = Shared { door, site, rooms, log };
     let ready = Router::new().route("/ready", get(ready)).with_state(door_of_ready);
     Router::new().route("/v1/chat/completions", post(complete)).with_state(shared).merge(ready)
 }
@@ -93,6 +94,11 @@
     (status, text.into() + "\n").into_response()
 }
 
+fn refused(after: Duration) -> Response {
+    let after = format!("{:.3}", after.as_secs_f64());
+    (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, after)], "refused\n").into_response()
+}
+
 async fn complete(State(shared): State<Shared>, request: Request) -> Response {
     let came = Instant::now();
     let (head, body) = request.into_parts();
@@ -107,16 +113,18 @@
     if length > MOST_BODY as u64 {
         return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
     }
-    let kb = (length / 1024 + 1) as u32;
-    let Ok(_room) = shared.bodies.acquire_many(kb).await else {
-        return says(StatusCode::INTERNAL_SERVER_ERROR, "no room");
+    let patience = Duration::from_micros(ask.expires_in);
+    // Nothing was done for a request that finds no room: it may come again.
+    let Ok(Some(room)) = timeout(patience, shared.rooms.wait(length as usize)).await else {
+        return refused(BODY_TIME);
     };
-    let body = match Limited::new(body, MOST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
+    let body = match timeout(patience.max(BODY_TIME), Limited::new(body, MOST_BODY).collect()).await {
+        Ok(Ok(body)) => room.keep(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
         }
-        Err(_) => return says(StatusCode::BAD_REQUEST, "the body is not whole"),
+        Ok(Err(_)) => return says(StatusCode::BAD_REQUEST, "the body is not whole"),
+        Err(_) => return says(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let work = Work { name, target: target.into(), body };
@@ -128,10 +136,7 @@
             ([(header::CONTENT_TYPE, "text/event-stream"), (header::CACHE_CONTROL, "no-cache")], body)
                 .into_response()
         }
-        Ok(Answer::Refused(after)) => {
-            let after = format!("{:.3}", after.as_secs_f64());
-            (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, after)], "refused\n").into_response()
-        }
+        Ok(Answer::Refused(after)) => refused(after),
         Ok(Answer::Failed) => says(StatusCode::BAD_GATEWAY, "failed"),
         Ok(Answer::Duplicate) => says(StatusCode::CONFLICT, "a request of this id is in flight"),
         Err(_) => says(StatusCode::INTERNAL_SERVER_ERROR, "no answer"),
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -7,6 +7,7 @@
 use crate::api::{Ask, Effect};
 use crate::dispatch::{Answer, Door, Piece, Work};
 use crate::fronts::names::{is_name, key};
+use crate::fronts::room::{Rooms, MOST_BODY};
 use crate::settings::{hash, micros, Sessions, Site};
 use axum::extract::ws::{close_code, CloseFrame, Message, WebSocket, WebSocketUpgrade};
 use axum::extract::State;
@@ -26,6 +27,8 @@
 
 /// Messages that may wait for a session's socket.
 const OUTGOING: usize = 32;
+/// When a request that found a bound reached may come again.
+const BUSY: Duration = Duration::from_millis(500);
 /// How long the core is waited for to tell whether a request that was left may have run.
 const FATE: Duration = Duration::from_secs(5);
 
@@ -92,7 +95,11 @@
         max_tokens: f64::from(said.max_out.ok_or("max_out is missing")?),
         ..Ask::default()
     };
-    Ok((ask, said.body.ok_or("body is missing")?.into()))
+    let body = said.body.ok_or("body is missing")?;
+    if body.len() > MOST_BODY {
+        return Err("the body is over 256 KiB".into());
+    }
+    Ok((ask, body.into()))
 }
 
 /// A request's final outcome, as it is recorded.
@@ -174,6 +181,7 @@
     door: Door,
     site: Arc<Site>,
     options: Arc<Sessions>,
+    rooms: Rooms,
     records: Arc<Mutex<Records>>,
     places: Arc<Semaphore>,
     names: Arc<AtomicU64>,
@@ -185,12 +193,13 @@
 impl Shared {
     /// What sessions share. `seed` makes the names under which nodes know requests differ between starts.
     pub fn new(
-        door: Door, site: Arc<Site>, options: Arc<Sessions>, seed: u64, stop: watch::Receiver<bool>,
-        log: Logger,
+        door: Door, site: Arc<Site>, options: Arc<Sessions>, rooms: Rooms, seed: u64,
+        stop: watch::Receiver<bool>, log: Logger,
     ) -> Self {
         Shared {
             door,
             site,
+            rooms,
             records: Arc::default(),
             places: Arc::new(Semaphore::new(options.most_sessions)),
             options,
@@ -381,9 +390,12 @@
     if stopping {
         return Some(refused(&key.1, Duration::ZERO));
     }
-    let Ok(place) = places.clone().try_acquire_owned() else {
-        return Some(refused(&key.1, Duration::from_millis(500)));
+    // Over the bounds of the session or of the memory, nothing is done: the same id may come again.
+    let bounds = (places.clone().try_acquire_owned(), shared.rooms.at_once(body.len()));
+    let (Ok(place), Some(room)) = bounds else {
+        return Some(refused(&key.1, BUSY));
     };
+    let body = room.keep(body);
     let (attach, attached) = mpsc::channel(1);
     let (cancel, cancelled) = mpsc::channel(1);
     cancels.insert(key.1.clone(), cancel);
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use quartzhall::dispatch::{self, Clock, Core, Event};
+use quartzhall::fronts::room::Rooms;
 use quartzhall::fronts::{health, listener, platform, websocket};
 use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, nodes};
@@ -119,12 +120,13 @@
 
     let (set_stop, stop) = watch::channel(false);
     let site = Arc::new(site);
-    let routes = platform::routes(door.clone(), site.clone(), memory_kb / 3, log.clone());
+    let rooms = Rooms::new(memory_kb / 3);
+    let routes = platform::routes(door.clone(), site.clone(), rooms.clone(), log.clone());
     let most = sockets / 2 - for_sessions;
     let mut fronts = JoinSet::new();
     fronts.spawn(listener::serve(platform_listener, routes, most, stop.clone(), log.clone()));
     let options = Arc::new(Sessions { most_sessions: for_sessions.max(1), ..sessions });
-    let shared = websocket::Shared::new(door.clone(), site, options, seed, stop.clone(), log.clone());
+    let shared = websocket::Shared::new(door.clone(), site, options, rooms, seed, stop.clone(), log.clone());
     if let Some(at) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
         fronts.spawn(listener::serve(at, routes, for_sessions, stop.clone(), log.clone()));
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -3,11 +3,12 @@
 use crate::api::{Load, RequestId, Status};
 use crate::dispatch::{Door, Event, Piece, Work};
 use bytes::Bytes;
+use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 /// Pieces of a stream that may wait for a slow client before its node is read no further.
 const PIECES: usize = 16;
@@ -69,20 +70,23 @@
         self.mark.clone()
     }
 
-    /// Waits until nobody wants the stream any more; for ever while it has not begun.
-    pub async fn abandoned(&self) {
-        match &self.pieces {
-            Some(pieces) => pieces.closed().await,
-            None => std::future::pending().await,
+    /// What comes next from the node, or how the attempt has ended instead: before a first event the time-out
+    /// holds, later the time for which a node may be silent; and a stream that nobody wants any more ends.
+    pub async fn next<T>(&self, until: Instant, next: impl Future<Output = T>) -> Result<T, Status> {
+        let (limit, ended) = match self.begun() {
+            true => (Instant::now() + SILENCE, Status::Reset),
+            false => (until, Status::Timeout),
+        };
+        tokio::select! {
+            next = timeout_at(limit, next) => next.map_err(|_| ended),
+            () = self.abandoned() => Err(Status::Cancelled),
         }
     }
 
-    /// Until when the next piece is waited for: the time-out, and later for as long as a node may be silent.
-    pub fn limit(&self, until: Instant) -> Instant {
-        if self.begun() {
-            Instant::now() + SILENCE
-        } else {
-            until
+    async fn abandoned(&self) {
+        match &self.pieces {
+            Some(pieces) => pieces.closed().await,
+            None => std::future::pending().await,
         }
     }
 
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -120,10 +120,11 @@
     }
 
     /// Runs an attempt to its end.
-    pub async fn attempt(&self, trial: &Trial, passing: Passing) -> End {
+    pub async fn attempt(&self, trial: Trial, passing: Passing) -> End {
         let until = Instant::now() + trial.timeout;
         let taken = Arc::new(AtomicBool::new(false));
-        let body = Once { body: Some(trial.work.body.clone()), taken: taken.clone() };
+        // The body goes with its last byte: a long stream keeps none of it.
+        let body = Once { body: Some(trial.work.body), taken: taken.clone() };
         let uri = format!("http://{}{}", trial.address, trial.work.target);
         let request = Request::builder()
             .method(Method::POST)
@@ -190,16 +191,11 @@
         let mut body = response.into_body();
         let mut tail = Vec::new();
         loop {
-            let next = tokio::select! {
-                next = timeout_at(passing.limit(until), body.frame()) => next,
-                () = passing.abandoned() => return Status::Cancelled.into(),
-            };
-            let frame = match next {
+            let frame = match passing.next(until, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Status::Reset.into(),
                 Ok(None) => break,
-                Err(_) if passing.begun() => return Status::Reset.into(),
-                Err(_) => return Status::Timeout.into(),
+                Err(status) => return status.into(),
             };
             let Ok(data) = frame.into_data() else { continue };
             tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -44,7 +44,7 @@
 }
 
 impl Shared {
-    async fn attempt(&self, trial: &Trial, passing: Passing) -> End {
+    async fn attempt(&self, trial: Trial, passing: Passing) -> End {
         if self.speak_sessions.contains(&*trial.address) {
             self.sessions.attempt(trial, passing).await
         } else {
@@ -117,11 +117,10 @@
                     let handle = tasks.spawn(async move {
                         let End { status, note, load } = tokio::select! {
                             biased;
-                            end = shared.attempt(&trial, passing) => end,
+                            end = shared.attempt(trial, passing) => end,
                             // Dropping the exchange closes its connection.
                             () = cancelled => Status::Cancelled.into(),
                         };
-                        let (id, attempt) = (trial.id, trial.attempt);
                         shared.door.tell(Event::Ended { id, attempt, status, note, load }).await;
                     });
                     trials.insert(handle.id(), (id, attempt));
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -131,7 +131,7 @@
     }
 
     /// Runs an attempt to its end.
-    pub async fn attempt(&self, trial: &Trial, mut passing: Passing) -> End {
+    pub async fn attempt(&self, mut trial: Trial, mut passing: Passing) -> End {
         let until = Instant::now() + trial.timeout;
         if self.dialer.is_barred(&trial.address) {
             return Status::Moot.into();
@@ -144,7 +144,9 @@
             },
         };
         let Some(mut session) = taken else { return Status::ConnectFailed.into() };
-        let body = String::from_utf8_lossy(&trial.work.body);
+        // The body goes with its last byte: a long stream keeps none of it.
+        let body = std::mem::take(&mut trial.work.body);
+        let body = String::from_utf8_lossy(&body);
         let request = format!(
             r#"{{"type":"request","id":{},"target":{},"expires_in_ms":{},"body":{}}}"#,
             json::to_string(&*trial.work.name),
@@ -159,15 +161,10 @@
             Err(_) => return Status::Timeout.into(),
         }
         loop {
-            let next = tokio::select! {
-                next = timeout_at(passing.limit(until), session.next()) => next,
-                () = passing.abandoned() => return Status::Cancelled.into(),
-            };
-            let message = match next {
+            let message = match passing.next(until, session.next()).await {
                 Ok(Some(Ok(message))) => message,
                 Ok(Some(Err(_)) | None) => return Status::Reset.into(),
-                Err(_) if passing.begun() => return Status::Reset.into(),
-                Err(_) => return Status::Timeout.into(),
+                Err(status) => return status.into(),
             };
             let text = match message {
                 Message::Text(text) => text,
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -7,6 +7,7 @@
 use stand::{node_side, Fleet, Way, ANSWER};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::timeout;
 
 fn work(name: &str) -> Work {
@@ -29,19 +30,25 @@
     }
 }
 
+/// A stream that has begun at a writer, which pauses after the first event.
+async fn begun(over_sessions: bool) -> (Fleet, Sender<Command>, Inbox, Receiver<Piece>) {
+    let fleet = Fleet::start(over_sessions).await;
+    let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
+    let (commands, mut inbox) = node_side(&speak);
+    commands.send(send(1, &fleet.addresses[0])).await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    fleet.way(2, Way::Pause);
+    commands.send(send(1, &fleet.addresses[2])).await.unwrap();
+    let Event::First { stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+    (fleet, commands, inbox, stream)
+}
+
 /// A cancel can cross with the first event: the core has handed the stream to the client when the cancel
 /// arrives. A stream that has begun is not withdrawn; cutting it would lose the request.
 #[tokio::test]
 async fn a_cancel_that_crosses_with_the_first_event_cuts_no_stream() {
     for over_sessions in [false, true] {
-        let fleet = Fleet::start(over_sessions).await;
-        let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
-        let (commands, mut inbox) = node_side(&speak);
-        commands.send(send(1, &fleet.addresses[0])).await.unwrap();
-        assert_eq!(ended(&mut inbox).await, Status::Read);
-        fleet.way(2, Way::Pause);
-        commands.send(send(1, &fleet.addresses[2])).await.unwrap();
-        let Event::First { mut stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+        let (fleet, commands, mut inbox, mut stream) = begun(over_sessions).await;
         commands.send(Command::Cancel { id: 1, attempt: 0 }).await.unwrap();
         // Once a later command has been done, so has the cancel.
         let probe = Command::Release { id: 9, name: "none".into(), addresses: vec![] };
@@ -61,14 +68,7 @@
 #[tokio::test]
 async fn a_stream_that_is_dropped_frees_its_node() {
     for over_sessions in [false, true] {
-        let fleet = Fleet::start(over_sessions).await;
-        let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
-        let (commands, mut inbox) = node_side(&speak);
-        commands.send(send(1, &fleet.addresses[0])).await.unwrap();
-        assert_eq!(ended(&mut inbox).await, Status::Read);
-        fleet.way(2, Way::Pause);
-        commands.send(send(1, &fleet.addresses[2])).await.unwrap();
-        let Event::First { stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+        let (fleet, _commands, mut inbox, stream) = begun(over_sessions).await;
         drop(stream);
         assert_eq!(ended(&mut inbox).await, Status::Cancelled);
         fleet.nothing_left().await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -167,3 +167,28 @@
     assert_eq!(idle.read_until("").await, "", "an idle connection is closed");
     tokio::time::timeout(Duration::from_secs(5), fleet.over).await.expect("the fronts end").unwrap();
 }
+
+/// A body keeps its room until nobody holds it any more, and no longer.
+#[test]
+fn room_is_free_again_when_the_last_holder_lets_a_body_go() {
+    let rooms = quartzhall::fronts::room::Rooms::new(0);
+    let room = rooms.at_once(200 * 1024).expect("room for one body");
+    let body = room.keep("text".into());
+    let held = body.clone();
+    assert!(rooms.at_once(200 * 1024).is_none());
+    drop(body);
+    assert!(rooms.at_once(200 * 1024).is_none());
+    assert_eq!(&held[..], b"text");
+    drop(held);
+    assert!(rooms.at_once(200 * 1024).is_some());
+}
+
+/// A client that never ends its body holds no place for ever.
+#[tokio::test]
+async fn a_body_that_takes_too_long_is_cut_off() {
+    let fleet = Fleet::start(false).await;
+    let slow = request("slow").replace("X-Expires-In-Ms: 2000", "X-Expires-In-Ms: 100");
+    let text = Client::exchange(&fleet, slow.strip_suffix('}').unwrap()).await;
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(fleet.ledger.lock().unwrap().sent.is_empty());
+}
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -279,3 +279,24 @@
     fleet.nothing_left().await;
     tokio::time::timeout(Duration::from_secs(5), fleet.over).await.expect("the fronts end").unwrap();
 }
+
+#[tokio::test]
+async fn a_session_over_its_bound_is_refused_and_may_come_again() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Wait);
+    let mut terminal = Terminal::connect(&fleet).await;
+    for number in 0..8 {
+        terminal.ask(&format!("w{number}"), "return-request", 9000).await;
+    }
+    terminal.ask("over", "return-request", 9000).await;
+    let (kind, text) = terminal.hear().await;
+    assert!(kind == "refused" && text.contains("\"over\""), "{text}");
+    fleet.until("all wait", |ledger| ledger.sent.iter().filter(|(node, _)| *node == 2).count() == 8).await;
+    terminal.say(r#"{"type":"cancel","id":"w0"}"#).await;
+    assert_eq!(terminal.hear_final("w0").await.0, "failed");
+    fleet.way(2, Way::Serve);
+    terminal.ask("over", "return-request", 9000).await;
+    assert_eq!(terminal.hear_final("over").await.0, "served", "nothing was done before");
+    drop(terminal);
+    fleet.nothing_left().await;
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -15,6 +15,7 @@
 use futures_util::{SinkExt, StreamExt};
 use miniserde::json;
 use quartzhall::dispatch::{self, Clock, Core, Door, Event};
+use quartzhall::fronts::room::Rooms;
 use quartzhall::fronts::{health, listener, platform, websocket};
 use quartzhall::settings::{MemberList, Profile, Sessions, Site};
 use quartzhall::{discovery, nodes};
@@ -291,12 +292,20 @@
         let options = r#"{"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let options = Arc::new(Sessions::parse(options).unwrap());
         let (listener, sessions) = bind().await;
-        let shared =
-            websocket::Shared::new(door.clone(), site.clone(), options, 1, stopped.clone(), log.clone());
+        let rooms = Rooms::new(10_000);
+        let shared = websocket::Shared::new(
+            door.clone(),
+            site.clone(),
+            options,
+            rooms.clone(),
+            1,
+            stopped.clone(),
+            log.clone(),
+        );
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
         let front = listener::serve(listener, routes, 50, stopped.clone(), log.clone());
         let (listener, platform) = bind().await;
-        let routes = platform::routes(door.clone(), site, 10_000, log.clone());
+        let routes = platform::routes(door.clone(), site, rooms, log.clone());
         let thin = listener::serve(listener, routes, 50, stopped, log.clone());
         let over = tokio::spawn(async move {
             tokio::join!(front, thin);
