End the program when a task dies that it can't do without; close four gaps

Seen by reading, each with the lines at fault: a panic in the core's task left a process that took requests and answered none (main.rs, tokio::spawn); a session that attached in the moment of the final message could miss it, and a second attach got a final 'failed' for a live id (fronts/websocket.rs); a body that is not UTF-8 reached session nodes altered (nodes/sessions.rs). Now the program ends with one line and a non-zero code; late attaches are answered after the record is set; the second attach gets a message that is not final; such a body is not sent.

--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -25,6 +25,8 @@
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{interval_at, sleep_until, timeout, Instant};
 
+/// Sessions that may ask for a live request before its task has come to the first.
+const ATTACHING: usize = 4;
 /// Messages that may wait for a session's socket.
 const OUTGOING: usize = 32;
 /// When a request that found a bound reached may come again.
@@ -363,7 +365,8 @@
             match &record.stage {
                 Stage::Live(task) => match task.try_send(outgoing.clone()) {
                     Ok(()) => return None,
-                    Err(_) => return Some(failed(&key.1, "this id is being answered")),
+                    // Its task has not yet come to the sessions that asked before: no final message, for it lives.
+                    Err(_) => return Some(said("error", &key.1, ",\"reason\":\"asked too often\"")),
                 },
                 Stage::Done(Outcome::Served(None)) => {
                     return Some(said("served", &key.1, ",\"recorded\":true,\"whole\":false"));
@@ -396,7 +399,7 @@
         return Some(refused(&key.1, BUSY));
     };
     let body = room.keep(body);
-    let (attach, attached) = mpsc::channel(1);
+    let (attach, attached) = mpsc::channel(ATTACHING);
     let (cancel, cancelled) = mpsc::channel(1);
     cancels.insert(key.1.clone(), cancel);
     records.insert(key.clone(), Record { deadline, stage: Stage::Live(attach) });
@@ -472,14 +475,14 @@
                 Outcome::Refused(again) => refused(id, again.saturating_duration_since(Instant::now())),
                 Outcome::Failed(reason) => failed(id, reason),
             };
-            // Sent before it is recorded: a session that asks in between is handed to `attached`.
-            let sent = self.out.send(last.clone()).await;
+            let _ = self.out.send(last.clone()).await;
             self.shared.records().finish(&self.key, Stage::Done(outcome), &self.shared.options);
-            if let (Err(_), Ok(out)) = (sent, self.attached.try_recv()) {
+            // From here on a session that asks finds the record; one that asked just before is answered too.
+            while let Ok(out) = self.attached.try_recv() {
                 if !self.text.is_empty() {
                     let _ = out.send(event(&self.key.1, &self.text)).await;
                 }
-                let _ = out.send(last).await;
+                let _ = out.send(last.clone()).await;
             }
             drop(place);
             return;
--- a/src/main.rs
+++ b/src/main.rs
@@ -114,9 +114,11 @@
     let (commands, commanded) = mpsc::channel(1024);
     let speak_sessions = sessions.nodes.iter().cloned().collect();
     let (bounds, node_sockets) = (site.bounds, sockets / 2);
-    tokio::spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
-    tokio::spawn(dispatch::run(core, clock, inbox, commands));
-    tokio::spawn(discovery::run(config.discovery, members_site, door.clone(), log.clone()));
+    // Without any of these the dispatcher would take requests and answer none: it ends instead.
+    let mut vital = JoinSet::new();
+    vital.spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
+    vital.spawn(dispatch::run(core, clock, inbox, commands));
+    vital.spawn(discovery::run(config.discovery, members_site, door.clone(), log.clone()));
 
     let (set_stop, stop) = watch::channel(false);
     let site = Arc::new(site);
@@ -136,17 +138,23 @@
     }
     info!(log, "serving"; "name" => config.name, "listen" => config.listen);
 
+    let work = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        info!(log, "draining"; "open" => door.open());
+        door.tell(Event::Drain).await;
+        tokio::time::sleep(GRACE).await;
+        let _ = set_stop.send(true);
+        while fronts.join_next().await.is_some() {}
+        shared.over().await;
+        door.empty().await;
+    };
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = work => {}
+        Some(ended) = vital.join_next() => return Err(format!("a task that must not end has ended: {ended:?}")),
     }
-    info!(log, "draining"; "open" => door.open());
-    door.tell(Event::Drain).await;
-    tokio::time::sleep(GRACE).await;
-    let _ = set_stop.send(true);
-    while fronts.join_next().await.is_some() {}
-    shared.over().await;
-    door.empty().await;
     info!(log, "all is answered and let go");
     Ok(())
 }
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -146,13 +146,14 @@
         let Some(mut session) = taken else { return Status::ConnectFailed.into() };
         // The body goes with its last byte: a long stream keeps none of it.
         let body = std::mem::take(&mut trial.work.body);
-        let body = String::from_utf8_lossy(&body);
+        // Text messages carry text: a body that is none is not sent, rather than sent as something else.
+        let Ok(body) = std::str::from_utf8(&body) else { return Status::Moot.into() };
         let request = format!(
             r#"{{"type":"request","id":{},"target":{},"expires_in_ms":{},"body":{}}}"#,
             json::to_string(&*trial.work.name),
             json::to_string(&*trial.work.target),
             trial.timeout.as_millis(),
-            json::to_string(&*body),
+            json::to_string(body),
         );
         // A message whose last byte was not written is no request.
         match timeout_at(until, session.send(Message::Text(request.into()))).await {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -192,3 +192,17 @@
     assert!(text.starts_with("HTTP/1.1 408"), "{text}");
     assert!(fleet.ledger.lock().unwrap().sent.is_empty());
 }
+
+/// Text messages can't carry a body that is no text: it is not sent to a node that speaks them.
+#[tokio::test]
+async fn a_body_that_is_no_text_is_not_sent_as_something_else() {
+    let fleet = Fleet::start(true).await;
+    let mut client = Client::connect(&fleet).await;
+    let text = request("bytes").replace("Host: x", "Host: x\r\nConnection: close");
+    client.write(text.strip_suffix("{}").unwrap()).await;
+    client.0.write_all(b"\xff\xfe").await.unwrap();
+    let text = client.read_until("").await;
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    assert!(fleet.ledger.lock().unwrap().sent.is_empty());
+    fleet.nothing_left().await;
+}
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -300,3 +300,19 @@
     drop(terminal);
     fleet.nothing_left().await;
 }
+
+/// A terminal that sends an id twice on one session gets the answer of one request.
+#[tokio::test]
+async fn an_id_sent_twice_is_one_request() {
+    let fleet = Fleet::start(true).await;
+    fleet.way(2, Way::Pause);
+    let mut terminal = Terminal::connect(&fleet).await;
+    terminal.ask("twice", "return-request", 9000).await;
+    assert_eq!(terminal.hear().await.0, "event");
+    terminal.ask("twice", "return-request", 9000).await;
+    assert_eq!(terminal.hear().await.0, "event", "what came so far, again");
+    fleet.go.notify_one();
+    assert_eq!(terminal.hear_final("twice").await, ("served".into(), ANSWER[1..].concat()));
+    fleet.nothing_left().await;
+    assert_eq!(fleet.sent_to(2), 1);
+}
