--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -311,6 +311,7 @@
 pub struct Core {
     router: Router,
     release_within: Time,
+    retry_after: Time,
     most_held: usize,
     numbers: HashMap<Arc<str>, ServerId>,
     nodes: BTreeMap<ServerId, Node>,
@@ -326,10 +327,11 @@
 impl Core {
     /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
     pub fn new(settings: api::Settings, most_held: usize, seed: u64, now: Time, log: Logger) -> Self {
-        let release_within = settings.release_within;
+        let (release_within, retry_after) = (settings.release_within, settings.max_retry_after);
         let mut core = Core {
             router: Router::new(settings, seed, now),
             release_within,
+            retry_after,
             most_held,
             numbers: HashMap::new(),
             nodes: BTreeMap::new(),
@@ -419,7 +421,7 @@
         }
         // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
         if self.requests.len() >= self.most_held {
-            let _ = answer.send(Answer::Refused(Duration::from_millis(500)));
+            let _ = answer.send(Answer::Refused(Duration::from_micros(self.retry_after)));
             return;
         }
         self.names.insert(work.name.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,7 @@
-//! quartzhall decides for a router of language-model servers that read prompts and write answers in two stages.
+//! A dispatcher: a core that knows no wire ([`dispatch`]), the [`fronts`] that speak with clients, and the
+//! [`nodes`] and [`discovery`] sides. `docs/architecture.md` has the life of a request.
+//!
+//! Its decisions are the module's, [`Router`], which decides for a router of language-model servers that read prompts and write answers in two stages.
 //!
 //! The caller owns clock, network and threads; it tells a [`Router`] what it hears and does what the router
 //! says.
