--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! A dispatcher: a core that knows no wire ([`dispatch`]), the [`fronts`] that speak with clients, and the
 //! [`nodes`] and [`discovery`] sides. `docs/architecture.md` has the life of a request.
 //!
-//! Its decisions are the module's, [`Router`], which decides for a router of language-model servers that read prompts and write answers in two stages.
+//! Its decisions are the module's, [`Router`], which decides for a router of language-model servers that read
+//! prompts and write answers in two stages.
 //!
 //! The caller owns clock, network and threads; it tells a [`Router`] what it hears and does what the router
 //! says.
