Read the configuration again at SIGHUP and follow the new discovery

Ruled out: a crash of the program's own (no panic in the log, the code is 128 + 1).

Now the handlers are installed before anything listens; reload.rs reads the file at SIGHUP, logs a bad one in one line, keeps the old address, and reads again until the file is whole; discovery drops its agent and watches the new one from a full list, for its revisions need not be the same. A configuration whose discovery is no address is an error at the start. The log no longer panics where its pipe is closed (Fuse in the async drain).

Test: it_follows_a_new_discovery_at_sighup (fails without: the program ends).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -12,8 +12,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use miniserde::json;
-use slog::{debug, warn, Logger};
+use slog::{debug, info, warn, Logger};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// How long a watch waits for something new.
@@ -59,39 +60,59 @@
     json::from_str(text).map_err(|_| "not a list of members".to_owned())
 }
 
-/// Watches discovery for as long as the dispatcher runs.
-pub async fn run(address: String, mut site: Site, door: Door, log: Logger) {
+type Agent = Client<HttpConnector, Empty<Bytes>>;
+
+fn agent() -> Agent {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(Duration::from_millis(500)));
-    let client: Client<HttpConnector, Empty<Bytes>> =
-        Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+    Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector)
+}
+
+async fn call(agent: &Agent, address: &str, target: &str) -> Result<MemberList, String> {
+    let request = Request::get(format!("http://{address}{target}")).body(Empty::new());
+    let response = agent.request(request.map_err(|it| it.to_string())?).await;
+    let response = response.map_err(|error| error.to_string())?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), LONGEST).collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    parse(&body)
+}
+
+/// Watches discovery for as long as the dispatcher runs, at the address that it was last told of.
+pub async fn run(mut address: watch::Receiver<String>, mut site: Site, door: Door, log: Logger) {
+    loop {
+        let now = address.borrow_and_update().clone();
+        tokio::select! {
+            // The sender is gone: the address is the last one.
+            Ok(()) = address.changed() => info!(log, "discovery has moved"),
+            () = follow(&now, &mut site, &door, &log) => return,
+        }
+    }
+}
+
+/// Watches one address, from a full list on: another agent's revisions need not be this one's. Its connections
+/// end with it.
+async fn follow(address: &str, site: &mut Site, door: &Door, log: &Logger) {
+    let agent = agent();
     let mut revision: Option<u64> = None;
     loop {
         let (target, patience) = match revision {
             None => ("/v1/endpoints".to_owned(), LATE),
             Some(from) => (format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()), HOLD + LATE),
         };
-        let call = async {
-            let request = Request::get(format!("http://{address}{target}")).body(Empty::new());
-            let response = client.request(request.map_err(|it| it.to_string())?).await;
-            let response = response.map_err(|error| error.to_string())?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), LONGEST).collect().await;
-            let body = body.map_err(|error| error.to_string())?.to_bytes();
-            if status != StatusCode::OK {
-                return Err(format!("status {status}"));
-            }
-            parse(&body)
-        };
-        match timeout(patience, call).await.unwrap_or_else(|_| Err("no answer in time".into())) {
+        let called = timeout(patience, call(&agent, address, &target)).await;
+        match called.unwrap_or_else(|_| Err("no answer in time".into())) {
             Ok(list) => {
                 debug!(log, "a list"; "revision" => list.revision, "complete" => list.complete,
                     "members" => list.members.len());
                 let same = revision == Some(list.revision) && list.members.is_empty() && !list.complete;
                 revision = Some(list.revision);
                 if !same {
-                    door.tell(members(&mut site, &list, &log)).await;
+                    door.tell(members(site, &list, log)).await;
                 }
             }
             Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod fronts;
 mod logic;
 pub mod nodes;
+pub mod reload;
 pub mod settings;
 
 pub use logic::Router;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use quartzhall::fronts::room::Rooms;
 use quartzhall::fronts::{health, listener, platform, websocket};
 use quartzhall::settings::{Config, Sessions, Site};
-use quartzhall::{discovery, nodes};
+use quartzhall::{discovery, nodes, reload};
 use slog::{info, o, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -31,7 +31,7 @@
 
 #[derive(Subcommand)]
 enum Task {
-    /// Run the dispatcher until SIGTERM.
+    /// Run the dispatcher until SIGTERM. SIGHUP: read the configuration again and follow its `discovery`.
     Serve {
         /// The configuration, as JSON.
         #[arg(long, env = "GW_CONFIG")]
@@ -79,12 +79,18 @@
 /// Writes to standard error from a thread of its own; a log that nobody reads is dropped and counted.
 fn logger(level: Level) -> (Logger, slog_async::AsyncGuard) {
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
-    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
     let (drain, guard) = slog_async::Async::new(format).chan_size(4096).build_with_guard();
     (Logger::root(drain.filter_level(level).fuse(), o!()), guard)
 }
 
-async fn serve(config: Config, site: Site, sessions: Sessions, log: Logger) -> Result<(), String> {
+async fn serve(
+    file: PathBuf, config: Config, site: Site, sessions: Sessions, log: Logger,
+) -> Result<(), String> {
+    // Signals come first: one that came before its handler would end the program.
+    let hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
     let platform_listener = listen(&config.listen).await?;
     let mut session_listener = None;
     if let Some(address) = &sessions.listen {
@@ -95,8 +101,6 @@
         agent_listener = Some(listen(address).await?);
     }
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| "the seed is not hexadecimal")?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
     let sockets = config.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(16) as usize;
     let memory_kb = config.limits.memory_mb.unwrap_or(192) as usize * 1024;
     // Nodes get half of the descriptors, for an attempt needs one as its client does; sessions, where they are
@@ -118,7 +122,9 @@
     let mut vital = JoinSet::new();
     vital.spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
     vital.spawn(dispatch::run(core, clock, inbox, commands));
-    vital.spawn(discovery::run(config.discovery, members_site, door.clone(), log.clone()));
+    let (set_discovery, discovery) = watch::channel(config.discovery);
+    vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
+    vital.spawn(reload::run(file, hangup, set_discovery, log.clone()));
 
     let (set_stop, stop) = watch::channel(false);
     let site = Arc::new(site);
@@ -174,11 +180,12 @@
             Ok(())
         }
         Task::Serve { config, websocket, log } => {
-            let (config, site, sessions) = read(&config, websocket.as_deref())?;
+            let file = config;
+            let (config, site, sessions) = read(&file, websocket.as_deref())?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
             let (log, _guard) = logger(log);
-            runtime.block_on(serve(config, site, sessions, log))
+            runtime.block_on(serve(file, config, site, sessions, log))
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -338,7 +338,11 @@
 impl Config {
     /// Reads a configuration; the error is one line.
     pub fn parse(text: &str) -> Result<Config, String> {
-        json::from_str(text).map_err(|_| "the configuration is not the JSON object that is expected".into())
+        let config: Config = json::from_str(text)
+            .map_err(|_| "the configuration is not the JSON object that is expected".to_owned())?;
+        let address = config.discovery.parse::<std::net::SocketAddr>();
+        address.map_err(|_| format!("discovery is no address: {:?}", config.discovery))?;
+        Ok(config)
     }
 }
 
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -3,11 +3,13 @@
 mod stand;
 
 use axum::extract::State;
+use axum::http::Uri;
 use axum::routing::get;
 use axum::Router;
+use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -115,6 +117,11 @@
     while !ask(address, "/ready").await.starts_with(&format!("HTTP/1.1 {code}")) {}
 }
 
+fn signal(running: &Running, name: &str) {
+    let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", running.0.id())).status().unwrap();
+    assert!(kill.success());
+}
+
 async fn end(mut running: Running) -> ExitStatus {
     let waits = tokio::task::spawn_blocking(move || running.0.wait().unwrap());
     tokio::time::timeout(Duration::from_secs(20), waits).await.expect("it ends").unwrap()
@@ -156,7 +163,67 @@
     let mut line = String::new();
     TcpStream::connect(&agent).await.unwrap().read_to_string(&mut line).await.unwrap();
     assert_eq!(line, "up ready\n");
-    let kill = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", running.0.id())).status().unwrap();
-    assert!(kill.success());
+    signal(&running, "TERM");
+    assert_eq!(end(running).await.code(), Some(0));
+}
+
+/// A discovery that tells one full list and then waits; and what it was asked.
+async fn discovery_with(revision: u32, members: &'static str) -> (String, Arc<Mutex<Vec<String>>>) {
+    let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+    let notes = asked.clone();
+    let list = move |uri: Uri| {
+        notes.lock().unwrap().push(uri.to_string());
+        async move {
+            if uri.query().is_some() {
+                std::future::pending::<()>().await;
+            }
+            format!(r#"{{"revision":{revision},"complete":true,"members":[{members}]}}"#)
+        }
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let routes = Router::new().route("/v1/endpoints", get(list));
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    (address, asked)
+}
+
+/// At SIGHUP a half-written file changes nothing, and is read again until it is whole; then the new address of
+/// discovery is followed from a full list, though its revisions are older. Repeats, and SIGTERM after, work.
+#[tokio::test]
+async fn it_follows_a_new_discovery_at_sighup() {
+    let reader =
+        r#"{"id":"r","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","phase":"Ready"}"#;
+    let both = r#"{"id":"r","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","phase":"Ready"},
+        {"id":"w","host_port":"127.0.0.1:2","locality":"east","flavor":"decode","phase":"Ready"}"#;
+    let (first, _) = discovery_with(900, reader).await;
+    let (second, asked) = discovery_with(3, both).await;
+    let listen = free_address().await;
+    let file = File::new("hup", &config(&listen, &first, "null"));
+    let mut command = Command::new(PROGRAM);
+    command.args(["serve", "--config"]).arg(&file.0).stderr(Stdio::piped());
+    let mut running = Running(command.spawn().unwrap());
+    let mut lines = BufReader::new(running.0.stderr.take().unwrap()).lines();
+    until_ready(&listen, "503").await;
+
+    let new = config(&listen, &second, "null");
+    std::fs::write(&file.0, &new[..new.len() / 2]).unwrap();
+    signal(&running, "HUP");
+    let told = tokio::task::spawn_blocking(move || {
+        let told = lines.any(|line| line.unwrap().contains("can't be used"));
+        (told, lines)
+    });
+    let (told, lines) = tokio::time::timeout(Duration::from_secs(20), told).await.unwrap().unwrap();
+    assert!(told);
+    assert!(ask(&listen, "/ready").await.starts_with("HTTP/1.1 503"));
+    std::fs::write(&file.0, &new).unwrap();
+    until_ready(&listen, "200").await;
+    assert_eq!(asked.lock().unwrap()[0], "/v1/endpoints");
+
+    signal(&running, "HUP");
+    signal(&running, "HUP");
+    assert!(ask(&listen, "/ready").await.starts_with("HTTP/1.1 200"));
+    signal(&running, "TERM");
+    // Nobody reads the rest of the log: the program must not wait for that.
+    drop(lines);
     assert_eq!(end(running).await.code(), Some(0));
 }
