Close mute and slow clients in 2.2 s; at the limit idle connections make room

Ruled out: CPU (0.03 s in the worst second), memory (7 MB), the module (late requests came late). Cause: listener.rs held each connection for HEAD_TIME, 90 s, and at the limit waited for one to end: clients that asked once and stayed, or said nothing, took all 224 places. A body had the client's own deadline.

Now each connection has a seat that says what it does and since when. A head that stalls is closed after 2.2 s, a body is answered 408; idle ones make room at the limit after 2 s, longest first. hyper shows only the encoding where both are sent (role.rs removes the length), so a request with Transfer-Encoding is refused with 411 and closed on every front.

Tests: tests/clients.rs, on a paused clock.

--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -1,44 +1,299 @@
 //! Connections from clients: taken, bounded, and ended in order.
+//!
+//! A connection has a [`Seat`], which says what it is doing and since when. Mute and slow clients lose theirs in
+//! time, and at the limit one that stands idle makes room for a new one, so that nobody can lock the others out.
 
+use axum::body::Body;
+use axum::http::{header, StatusCode};
+use axum::response::{IntoResponse, Response};
 use axum::Router;
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
 use slog::{info, warn, Logger};
-use std::pin::pin;
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::io;
+use std::pin::{pin, Pin};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
+use tower_service::Service;
 
-/// A client that takes longer over a request's head, or lets a connection stand idle longer, is cut off.
-const HEAD_TIME: Duration = Duration::from_secs(90);
+/// From its start, or from the first byte of a later one, a connection has so long for a request's whole head.
+const HEAD_TIME: Duration = Duration::from_millis(2200);
+/// A connection that stands idle longer is closed.
+const IDLE_TIME: Duration = Duration::from_secs(90);
+/// At the limit, one that has stood idle so long makes room for a new one.
+const SPARED_TIME: Duration = Duration::from_millis(2000);
 /// A connection's read buffer: a head must fit.
 const BUFFER: usize = 16 * 1024;
 
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nothing has come yet.
+    New,
+    /// It stands between requests.
+    Idle,
+    /// A head has begun.
+    Head,
+    /// A request is open.
+    Open,
+}
+
+/// One connection, as its listener sees it.
+struct Seat {
+    state: Mutex<(Phase, Instant)>,
+    changed: Notify,
+    close: Notify,
+}
+
+impl Seat {
+    fn new() -> Arc<Seat> {
+        let state = Mutex::new((Phase::New, Instant::now()));
+        Arc::new(Seat { state, changed: Notify::new(), close: Notify::new() })
+    }
+
+    fn state(&self) -> MutexGuard<'_, (Phase, Instant)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn becomes(&self, phase: Phase) {
+        *self.state() = (phase, Instant::now());
+        self.changed.notify_one();
+    }
+
+    /// Bytes have come. The first ones of a connection don't give it more time.
+    fn heard(&self) {
+        let mut state = self.state();
+        match state.0 {
+            Phase::New => state.0 = Phase::Head,
+            Phase::Idle => *state = (Phase::Head, Instant::now()),
+            Phase::Head | Phase::Open => return,
+        }
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    /// Since when it could make room for another: it waits for a client that owes nothing and is owed nothing.
+    fn idle_since(&self) -> Option<Instant> {
+        let (phase, since) = *self.state();
+        matches!(phase, Phase::New | Phase::Idle).then_some(since)
+    }
+
+    /// Returns when the connection has to go.
+    async fn over(&self) {
+        loop {
+            let (phase, since) = *self.state();
+            let limit = match phase {
+                Phase::New | Phase::Head => Some(since + HEAD_TIME),
+                Phase::Idle => Some(since + IDLE_TIME),
+                Phase::Open => None,
+            };
+            let late = async {
+                match limit {
+                    Some(limit) => sleep_until(limit).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = late => return,
+                () = self.close.notified() => {
+                    // A request that came in between is not cut off.
+                    if self.idle_since().is_some() {
+                        return;
+                    }
+                }
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+}
+
+/// An open request: its seat is idle again when it is let go, with the last of its answer.
+struct Asked(Arc<Seat>);
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        self.0.becomes(Phase::Idle);
+    }
+}
+
+/// An answer's body, which holds its request open.
+struct Answering {
+    body: Body,
+    _asked: Asked,
+}
+
+impl http_body::Body for Answering {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A client's socket, which tells its seat that bytes have come.
+struct Heard {
+    stream: TcpStream,
+    seat: Arc<Seat>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.seat.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+}
+
+/// Serves one request. A body whose length is not stated is refused, whatever its route: with a length stated
+/// beside it, as hyper no longer shows, it may hide a second request.
+async fn answer(mut routes: Router, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
+    seat.becomes(Phase::Open);
+    let asked = Asked(seat);
+    let response = if request.headers().contains_key(header::TRANSFER_ENCODING) {
+        let closing = [(header::CONNECTION, "close")];
+        (StatusCode::LENGTH_REQUIRED, closing, "a length is required\n").into_response()
+    } else {
+        match routes.call(request).await {
+            Ok(response) => response,
+            Err(never) => match never {},
+        }
+    };
+    response.map(|body| Body::new(Answering { body, _asked: asked }))
+}
+
+async fn serve_one(stream: TcpStream, seat: Arc<Seat>, routes: Router, mut stop: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let taken = seat.clone();
+    let service = service_fn(move |request| {
+        let answer = answer(routes.clone(), taken.clone(), request);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let mut http = hyper::server::conn::http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
+    let wire = TokioIo::new(Heard { stream, seat: seat.clone() });
+    let mut connection = pin!(http.serve_connection(wire, service).with_upgrades());
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = seat.over() => return,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        _ = connection => {}
+        () = seat.over() => {}
+    }
+}
+
+/// The connections of a listener.
+struct Seats {
+    places: Arc<Semaphore>,
+    taken: HashMap<tokio::task::Id, Arc<Seat>>,
+}
+
+impl Seats {
+    /// A place for a new connection. At the limit the one that has stood idle longest is closed for it; where
+    /// none has done so for long enough, the new one waits in the listener's queue.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        let free = self.places.clone().acquire_owned();
+        let mut free = pin!(free);
+        loop {
+            let idle = self.taken.values().filter_map(|seat| Some((seat.idle_since()?, seat)));
+            let longest = idle.min_by_key(|(since, _)| *since);
+            let wait = match longest {
+                Some((since, _)) => since + SPARED_TIME,
+                None => Instant::now() + SPARED_TIME,
+            };
+            tokio::select! {
+                biased;
+                place = free.as_mut() => return place.ok(),
+                () = sleep_until(wait) => {}
+            }
+            if let Some((_, seat)) = longest {
+                seat.close.notify_one();
+                // Its task lets go of the place as soon as it runs; one that got a request meanwhile does not.
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
 /// Serves clients until `stop` turns true; then no more connections are taken, those that are idle are
 /// closed, and it returns when all are over. `most` is the most connections at once.
 pub async fn serve(
     listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
 ) {
-    let places = Arc::new(Semaphore::new(most));
+    let mut seats = Seats { places: Arc::new(Semaphore::new(most)), taken: HashMap::new() };
     let mut connections = JoinSet::new();
     let mut pause = Duration::from_millis(5);
     let mut stopping = stop.clone();
     loop {
-        while connections.try_join_next().is_some() {}
+        while let Some(ended) = connections.try_join_next_with_id() {
+            let task = ended.map_or_else(|error| error.id(), |(task, ())| task);
+            seats.taken.remove(&task);
+        }
         let accepted = tokio::select! {
             biased;
             _ = stopping.wait_for(|stop| *stop) => break,
             accepted = async {
-                // At the limit, new connections wait in the listener's queue: none is dropped.
-                let place = places.clone().acquire_owned().await;
+                let place = seats.place().await;
                 (listener.accept().await, place)
             } => accepted,
         };
         let (stream, place) = match accepted {
-            (Ok((stream, _)), Ok(place)) => (stream, place),
+            (Ok((stream, _)), Some(place)) => (stream, place),
             (Err(error), _) => {
                 // Out of descriptors, or the client was too quick: trying at once would spin.
                 warn!(log, "accept failed"; "error" => %error);
@@ -46,26 +301,16 @@
                 pause = (pause * 2).min(Duration::from_millis(200));
                 continue;
             }
-            (_, Err(_)) => break,
+            (_, None) => break,
         };
         pause = Duration::from_millis(5);
-        let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(routes.clone());
-        let mut stop = stop.clone();
-        connections.spawn(async move {
-            let mut http = hyper::server::conn::http1::Builder::new();
-            http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(BUFFER);
-            let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service).with_upgrades());
-            let ended = tokio::select! {
-                ended = connection.as_mut() => Some(ended),
-                _ = stop.wait_for(|stop| *stop) => None,
-            };
-            if ended.is_none() {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+        let seat = Seat::new();
+        let (routes, stop, of_task) = (routes.clone(), stop.clone(), seat.clone());
+        let task = connections.spawn(async move {
+            serve_one(stream, of_task, routes, stop).await;
             drop(place);
         });
+        seats.taken.insert(task.id(), seat);
     }
     drop(listener);
     info!(log, "no more connections are taken"; "open" => connections.len());
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -22,10 +22,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout_at, Instant};
+
+/// A whole body, and room for it, are waited for so long after the head, however long the client would wait for
+/// its answer: that is the client's own word.
+const BODY_TIME: Duration = Duration::from_millis(2200);
 
-/// A body that takes longer than its request may wait is cut off, but not sooner than this.
-const BODY_TIME: Duration = Duration::from_secs(1);
 /// What the handlers share.
 #[derive(Clone)]
 pub struct Shared {
@@ -113,12 +115,12 @@
     if length > MOST_BODY as u64 {
         return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
     }
-    let patience = Duration::from_micros(ask.expires_in);
+    let until = came + BODY_TIME;
     // Nothing was done for a request that finds no room: it may come again.
-    let Ok(Some(room)) = timeout(patience, shared.rooms.wait(length as usize)).await else {
-        return refused(BODY_TIME);
+    let Ok(Some(room)) = timeout_at(until, shared.rooms.wait(length as usize)).await else {
+        return refused(Duration::from_micros(shared.site.settings.max_retry_after));
     };
-    let body = match timeout(patience.max(BODY_TIME), Limited::new(body, MOST_BODY).collect()).await {
+    let body = match timeout_at(until, Limited::new(body, MOST_BODY).collect()).await {
         Ok(Ok(body)) => room.keep(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return says(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 256 KiB");
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,109 @@
+//! Clients that say nothing, too little, or what can be read in two ways: on a paused clock.
+
+mod stand;
+
+use axum::routing::{get, post};
+use axum::Router;
+use quartzhall::fronts::listener;
+use slog::{o, Discard, Logger};
+use stand::{Fleet, Way, ANSWER};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
+
+const GET: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: c\r\nX-Qos: status-query\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: 4000000000\r\nX-Props: prompt_len=500,max_out=100\r\n";
+
+async fn send(address: &str, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+/// What comes until it ends with this, or until the connection's end where it is empty.
+async fn read(stream: &mut TcpStream, ends: &str) -> String {
+    let (mut all, mut some) = (Vec::new(), [0; 4096]);
+    while ends.is_empty() || !all.ends_with(ends.as_bytes()) {
+        match stream.read(&mut some).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => all.extend_from_slice(&some[..read]),
+        }
+    }
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// A listener without a dispatcher, for so many connections.
+async fn listen(most: usize) -> (String, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (stop, stopped) = watch::channel(false);
+    let routes = Router::new().route("/ready", get(|| async { "ready." })).route("/post", post(|| async {}));
+    tokio::spawn(listener::serve(listener, routes, most, stopped, Logger::root(Discard, o!())));
+    (address, stop)
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_never_becomes_a_request_is_closed_within_3_s() {
+    let fleet = Fleet::start(false).await;
+    let half = format!("{HEAD}Content-Length: 900\r\n\r\n{{\"half\":");
+    for (text, answer) in [
+        ("", ""),
+        ("POST /v1/cha", ""),
+        (HEAD, ""),
+        (&half, "HTTP/1.1 408"),
+        ("what?\r\n\r\n", "HTTP/1.1 400"),
+    ] {
+        let mut client = send(&fleet.platform, text).await;
+        let sent = Instant::now();
+        let told = read(&mut client, "").await;
+        assert!(told.starts_with(answer) && told.is_empty() == answer.is_empty(), "{text:?}: {told}");
+        assert!(sent.elapsed() < Duration::from_millis(2500), "{text:?}: {:?}", sent.elapsed());
+    }
+    fleet.nothing_left().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_open_request_has_its_time() {
+    let fleet = Fleet::start(false).await;
+    fleet.way(2, Way::Pause);
+    let mut client = send(&fleet.platform, &format!("{HEAD}Content-Length: 2\r\n\r\n{{}}")).await;
+    assert!(read(&mut client, "\n\n\r\n").await.contains(ANSWER[0]));
+    sleep(Duration::from_secs(3)).await;
+    fleet.go.notify_one();
+    assert!(read(&mut client, "0\r\n\r\n").await.contains(ANSWER[2]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn at_the_limit_the_longest_idle_makes_room() {
+    let (address, _stop) = listen(2).await;
+    let mut idle = Vec::new();
+    for _ in 0..2 {
+        let mut client = send(&address, GET).await;
+        assert!(read(&mut client, "ready.").await.starts_with("HTTP/1.1 200"));
+        idle.push(client);
+        sleep(Duration::from_millis(500)).await;
+    }
+    let asked = Instant::now();
+    let mut third = send(&address, GET).await;
+    assert!(read(&mut third, "ready.").await.starts_with("HTTP/1.1 200"));
+    // Not before it had stood idle for 2 s, and not much later.
+    assert!((900..1200).contains(&asked.elapsed().as_millis()), "{:?}", asked.elapsed());
+    assert_eq!(read(&mut idle[0], "").await, "");
+    idle[1].write_all(GET.as_bytes()).await.unwrap();
+    assert!(read(&mut idle[1], "ready.").await.starts_with("HTTP/1.1 200"));
+}
+
+/// With a length and an encoding a body may end in two places, and what lies between them is a request to one
+/// reader and none to the other.
+#[tokio::test]
+async fn a_request_that_may_hide_another_is_refused_and_closed() {
+    let (address, _stop) = listen(9).await;
+    for heads in ["Content-Length: 3\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked"] {
+        let text = format!("POST /post HTTP/1.1\r\nHost: x\r\n{heads}\r\n\r\n0\r\n\r\n{GET}");
+        let told = read(&mut send(&address, &text).await, "").await;
+        assert!(told.starts_with("HTTP/1.1 411"), "{told}");
+        assert!(told.contains("connection: close") && !told.contains("ready."), "{told}");
+    }
+}
