--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a node, whatever its wire: what is sent, how it ended, and the passing on of its stream.
 
+use super::events::{Events, Spoilt};
 use crate::api::{Load, RequestId, Status};
 use crate::dispatch::{Door, Event, Piece, Work};
 use bytes::Bytes;
@@ -12,8 +13,8 @@
 
 /// Pieces of a stream that may wait for a slow client before its node is read no further.
 const PIECES: usize = 16;
-/// A stream without an event for so long has broken: its node is silent.
-const SILENCE: Duration = Duration::from_secs(30);
+/// A stream without a whole event for so long has broken, whether its node is silent or sends what is none.
+const SILENCE: Duration = Duration::from_secs(4);
 
 /// One attempt, as the core commanded it.
 pub struct Trial {
@@ -45,19 +46,30 @@
     }
 }
 
-/// Passes a stream on as it comes. Its first piece tells the core, which decides whose it is.
+/// Passes a stream on, event by event as they come. The first one tells the core, which decides whose it is;
+/// bytes that are no event yet may never become one, and commit nothing.
 pub struct Passing {
     door: Door,
     id: RequestId,
     attempt: u32,
     pieces: Option<mpsc::Sender<Piece>>,
     mark: Arc<AtomicBool>,
+    events: Events,
+    last: Instant,
 }
 
 impl Passing {
     /// For this attempt.
     pub fn new(door: Door, trial: &Trial) -> Self {
-        Passing { door, id: trial.id, attempt: trial.attempt, pieces: None, mark: Arc::default() }
+        Passing {
+            door,
+            id: trial.id,
+            attempt: trial.attempt,
+            pieces: None,
+            mark: Arc::default(),
+            events: Events::default(),
+            last: Instant::now(),
+        }
     }
 
     /// Whether a first event came; it stops the time-out.
@@ -71,10 +83,10 @@
     }
 
     /// What comes next from the node, or how the attempt has ended instead: before a first event the time-out
-    /// holds, later the time for which a node may be silent; and a stream that nobody wants any more ends.
+    /// holds, later the time within which each event has to come; and a stream that nobody wants any more ends.
     pub async fn next<T>(&self, until: Instant, next: impl Future<Output = T>) -> Result<T, Status> {
         let (limit, ended) = match self.begun() {
-            true => (Instant::now() + SILENCE, Status::Reset),
+            true => (self.last + SILENCE, Status::Reset),
             false => (until, Status::Timeout),
         };
         tokio::select! {
@@ -90,27 +102,43 @@
         }
     }
 
-    /// Passes a piece on; false where nobody wants it any more.
-    pub async fn data(&mut self, data: Bytes) -> bool {
+    /// Takes what came and passes on the events that are whole. An error is how the attempt has ended: nobody
+    /// wants the stream any more, or it is spoilt.
+    pub async fn data(&mut self, data: &[u8]) -> Result<(), Status> {
+        let whole = self.events.take(data).map_err(|Spoilt| Status::Error)?;
+        self.pass(whole).await
+    }
+
+    async fn pass(&mut self, data: Bytes) -> Result<(), Status> {
         if data.is_empty() {
-            return true;
+            return Ok(());
         }
-        if let Some(pieces) = &self.pieces {
-            return pieces.send(Piece::Data(data)).await.is_ok();
+        match &self.pieces {
+            Some(pieces) => pieces.send(Piece::Data(data)).await.map_err(|_| Status::Cancelled)?,
+            None => {
+                let (pieces, stream) = mpsc::channel(PIECES);
+                let _ = pieces.try_send(Piece::Data(data)); // the channel is new and empty
+                self.pieces = Some(pieces);
+                self.mark.store(true, Ordering::Relaxed);
+                self.door.tell(Event::First { id: self.id, attempt: self.attempt, stream }).await;
+            }
         }
-        let (pieces, stream) = mpsc::channel(PIECES);
-        let _ = pieces.try_send(Piece::Data(data)); // the channel is new and empty
-        self.pieces = Some(pieces);
-        self.mark.store(true, Ordering::Relaxed);
-        self.door.tell(Event::First { id: self.id, attempt: self.attempt, stream }).await;
-        true
+        self.last = Instant::now();
+        Ok(())
     }
 
-    /// Passes the good end on. Without it, whoever reads the stream takes it as broken.
-    pub async fn end(self) {
+    /// Passes the good end on, with what came after the last event. Without it, whoever reads the stream takes
+    /// it as broken. A stream without an event is no answer.
+    pub async fn end(mut self) -> Result<(), Status> {
+        let rest = std::mem::take(&mut self.events).rest().map_err(|Spoilt| Status::Error)?;
+        if !self.begun() {
+            return Err(Status::Error);
+        }
+        self.pass(rest).await?;
         if let Some(pieces) = self.pieces {
             let _ = pieces.send(Piece::End).await;
         }
+        Ok(())
     }
 }
 
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -15,6 +15,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use miniserde::{json, Deserialize};
 use slog::{debug, Logger};
+use std::error::Error;
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -22,6 +24,8 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
+/// A connection's read buffer.
+const BUFFER: usize = 32 * 1024;
 /// A short answer of a node (a read's result, a load report) is not read beyond this.
 const SHORT_ANSWER: usize = 16 * 1024;
 /// The end of a stream that is kept for the usage and the load report that it carries.
@@ -88,6 +92,24 @@
     (kept, load)
 }
 
+/// What an exchange has come to that may have run: an error where the node's answer can't be read, which tells
+/// nothing of the node's health, and a reset where its connection broke.
+fn broken(error: &(dyn Error + 'static)) -> Status {
+    let unreadable = |error: &(dyn Error + 'static)| {
+        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
+        error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
+            || matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
+    };
+    let mut next = Some(error);
+    while let Some(error) = next {
+        if unreadable(error) {
+            return Status::Error;
+        }
+        next = error.source();
+    }
+    Status::Reset
+}
+
 /// The client, with its pool of connections. Cheap to clone.
 #[derive(Clone)]
 pub struct Http {
@@ -106,6 +128,8 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_time)
             .pool_max_idle_per_host(64)
+            // A node's head must fit; one that does not end is found out the sooner, and costs no more.
+            .http1_max_buf_size(BUFFER)
             .build(dialer.clone());
         Http { client, dialer, log }
     }
@@ -149,7 +173,7 @@
                 debug!(self.log, "attempt failed"; "id" => trial.id, "attempt" => trial.attempt,
                     "address" => %trial.address, "error" => ?error);
                 let never = error.is_connect() || !taken.load(Ordering::Relaxed);
-                return if never { Status::ConnectFailed } else { Status::Reset }.into();
+                return if never { Status::ConnectFailed } else { broken(&error) }.into();
             }
             Err(_) => return Status::Timeout.into(),
         };
@@ -193,21 +217,23 @@
         loop {
             let frame = match passing.next(until, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Status::Reset.into(),
+                Ok(Some(Err(error))) => {
+                    debug!(self.log, "a stream broke"; "error" => ?error);
+                    return broken(&error).into();
+                }
                 Ok(None) => break,
                 Err(status) => return status.into(),
             };
             let Ok(data) = frame.into_data() else { continue };
             tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
             tail.drain(..tail.len().saturating_sub(TAIL));
-            if !passing.data(data).await {
-                return Status::Cancelled.into();
+            if let Err(status) = passing.data(&data).await {
+                return status.into();
             }
         }
-        if !passing.begun() {
-            return End { status: Status::Error, note: 0.0, load };
+        if let Err(status) = passing.end().await {
+            return End { status, note: 0.0, load };
         }
-        passing.end().await;
         let (note, last) = parse_tail(&tail);
         End { status: Status::Ok, note, load: last.or(load) }
     }
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod attempt;
 mod connections;
+pub mod events;
 pub mod http;
 pub mod sessions;
 
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -175,19 +175,16 @@
             };
             match parse(&text, &trial.work.name) {
                 Sense::Data(data) => {
-                    if !passing.data(data).await {
-                        return Status::Cancelled.into();
+                    if let Err(status) = passing.data(&data).await {
+                        return status.into();
                     }
                 }
                 Sense::End(end) => {
                     let begun = passing.begun();
                     let end = match end.status {
-                        Status::Ok if begun => {
-                            passing.end().await;
-                            end
-                        }
-                        // An answer without an event is none; one that ends otherwise has broken.
-                        Status::Ok | Status::Error => Status::Error.into(),
+                        Status::Ok => passing.end().await.map_or_else(End::from, |()| end),
+                        Status::Error => Status::Error.into(),
+                        // A stream that ends otherwise has broken.
                         _ if begun => Status::Reset.into(),
                         _ => end,
                     };
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -5,7 +5,7 @@
 
 use quartzhall::api::Ask;
 use quartzhall::fronts::{names, platform, websocket};
-use quartzhall::nodes::{attempt, http, sessions};
+use quartzhall::nodes::{attempt, events, http, sessions};
 use quartzhall::settings::{Config, Profile, Sessions, Site};
 use quartzhall::{discovery, fronts};
 use quickcheck::{Arbitrary, Gen};
@@ -103,3 +103,34 @@
     let quartzhall::dispatch::Event::Members { complete: true, members } = event else { panic!("{event:?}") };
     assert_eq!(members.len(), 1);
 }
+
+/// However a stream is cut, it comes out unchanged and event by event; what is no event spoils it at the latest
+/// where the event would end, and garbage never comes out as one.
+#[test]
+fn a_stream_is_cut_into_its_events() {
+    let stream =
+        format!(": hello\n\ndata: {{\"n\":\"ä\"}}\r\n\r\nevent: x\nid: 7\ndata: 2\n\n{TAIL}: the end");
+    let mut random = Gen::from_size_and_seed(40, 5);
+    for _ in 0..500 {
+        let (mut events, mut rest, mut out) = (events::Events::default(), stream.as_bytes(), Vec::new());
+        while !rest.is_empty() {
+            let (some, later) = rest.split_at(1 + usize::arbitrary(&mut random) % rest.len());
+            let whole = events.take(some).unwrap();
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n") || whole.ends_with(b"\n\r\n"));
+            assert!(!out.is_empty() || whole.is_empty() || whole.windows(5).any(|it| it == b"data:"));
+            out.extend_from_slice(&whole);
+            rest = later;
+        }
+        out.extend_from_slice(&events.rest().unwrap());
+        assert_eq!(out, stream.as_bytes());
+
+        let mut garbage = Vec::<u8>::arbitrary(&mut random);
+        garbage.insert(0, b'?');
+        let mut events = events::Events::default();
+        assert_eq!(events.take(b"data: 1\n\n").unwrap(), "data: 1\n\n");
+        assert_eq!(events.take(&garbage), Err(events::Spoilt));
+    }
+    let mut events = events::Events::default();
+    let took = (0..70).map(|_| events.take(&[b':'; 1024])).take_while(Result::is_ok).count();
+    assert_eq!(took, 64, "an event without an end is not kept for ever");
+}
