End a request that a node finds bad, and don't blame the node for it

Status::Error blames the reader (logic.rs, outcome), so readers were set aside and usual clients refused: 25 to 34% of tries in the windows from 10 s on. Ruled out: errors of the nodes' own, 5 of the 220 (code 500); load on the fleet, which was not full.

A 400, 404 or 413 of a node is now Status::Rejected: never ran, final at once with 400, nobody blamed. On sessions to nodes 'rejected' says the same.

Tests: core.rs, spoilt.rs.

--- a/src/api.rs
+++ b/src/api.rs
@@ -223,6 +223,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// Turned away because the request itself is bad, as it would be anywhere; it did not run.
+    Rejected,
 }
 
 /// What a router hears.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -56,6 +56,8 @@
     Failed,
     /// A request of this name is in flight.
     Duplicate,
+    /// A node found that the request itself is bad; it did not run.
+    Rejected,
 }
 
 /// A member of the fleet, as discovery tells of it.
@@ -484,7 +486,10 @@
             held.closed = true; // by its good end, or by its break
         }
         let reads = self.nodes.get(&server).is_none_or(|node| node.role != Role::Writer);
-        let proven = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot | Status::Read);
+        let proven = matches!(
+            status,
+            Status::Full | Status::ConnectFailed | Status::Moot | Status::Read | Status::Rejected
+        );
         held.ran |= !proven && self.nodes.get(&server).is_none_or(|node| node.role != Role::Reader);
         match status {
             Status::Read => held.known = true,
@@ -493,7 +498,11 @@
             Status::Full if note > 0.0 => held.known = false,
             _ => {}
         }
-        let closed = held.closed;
+        // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
+        if status == Status::Rejected {
+            self.close(id, Answer::Rejected);
+        }
+        let closed = self.requests.get(&id).is_some_and(|held| held.closed);
         debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
             "status" => ?status, "note" => note, "closed" => closed);
         self.step(now, api::Event::Outcome { id, attempt, server, status, closed, note, load });
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -140,6 +140,7 @@
         }
         Ok(Answer::Refused(after)) => refused(after),
         Ok(Answer::Failed) => says(StatusCode::BAD_GATEWAY, "failed"),
+        Ok(Answer::Rejected) => says(StatusCode::BAD_REQUEST, "a node found the request bad"),
         Ok(Answer::Duplicate) => says(StatusCode::CONFLICT, "a request of this id is in flight"),
         Err(_) => says(StatusCode::INTERNAL_SERVER_ERROR, "no answer"),
     }
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -540,6 +540,9 @@
                     Ok(Answer::Refused(after)) => {
                         return Tried::Final(Outcome::Refused(Instant::now() + after));
                     }
+                    Ok(Answer::Rejected) => {
+                        return Tried::Final(Outcome::Failed("a node found the request bad"));
+                    }
                     Ok(Answer::Duplicate | Answer::Failed) | Err(_) => {
                         return Tried::Final(Outcome::Failed("failed"));
                     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -454,8 +454,8 @@
         request.answered |= closed;
         let Some(attempt) = request.attempts.get_mut(at).filter(|attempt| attempt.out) else { return };
         attempt.out = false;
-        let turned_away = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
-        attempt.harmless |= turned_away || attempt.stage == Stage::Read;
+        let never = matches!(status, Status::ConnectFailed | Status::Moot | Status::Rejected);
+        attempt.harmless |= never || status == Status::Full || attempt.stage == Stage::Read;
         let attempt = &request.attempts[at];
         let server = attempt.choice.server;
         if let Some(server) = self.servers.get_mut(&server) {
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -198,6 +198,10 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => {
                 End { status: Status::Full, note: 0.0, load }
             }
+            StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::PAYLOAD_TOO_LARGE => {
+                debug!(self.log, "a bad request, says a node"; "id" => trial.id, "address" => %trial.address);
+                End { status: Status::Rejected, note: 0.0, load }
+            }
             other => {
                 debug!(self.log, "a node's error"; "id" => trial.id, "address" => %trial.address,
                     "code" => other.as_u16());
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -67,6 +67,7 @@
         ("refused", _) if told.never_ran == Some(true) => {
             end(Status::Full, f64::from(u8::from(told.state_gone == Some(true))))
         }
+        ("rejected", _) => end(Status::Rejected, 0.0),
         _ => end(Status::Error, 0.0),
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -244,3 +244,18 @@
     tokio::spawn(dispatch::run(core, clock, inbox, commands));
     door.becomes(Readiness::Draining).await;
 }
+
+/// What one node finds bad the others would too: the request ends there, and the node is not held to blame.
+#[test]
+fn a_request_that_a_node_finds_bad_goes_to_no_other_node() {
+    let mut bench = Bench::new(10);
+    for id in 1..20 {
+        let mut answered = bench.ask(id, (id % 2) as usize, &format!("bad{id}"));
+        assert_eq!(bench.sends(), id as usize, "the reader is still trusted");
+        bench.ended(id, 0, Status::Rejected);
+        assert!(matches!(answered.try_recv(), Ok(Answer::Rejected)));
+        assert_eq!(bench.core.open(), 0);
+    }
+    bench.pass(5_000 * MS);
+    assert_eq!((bench.sends(), bench.releases()), (19, 0));
+}
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -146,3 +146,15 @@
     answer(&mut held[1], good.as_bytes()).await;
     assert_eq!(outcome(&mut inbox).await, (Status::Ok, body, true));
 }
+
+#[tokio::test]
+async fn a_bad_request_is_told_from_an_error_of_the_node() {
+    for (code, wanted) in
+        [("400 Bad Request", Status::Rejected), ("500 Oh", Status::Error), ("302 Found", Status::Error)]
+    {
+        let (node, (commands, mut inbox)) = (Node::start().await, node_side(&[]));
+        commands.send(node.send(1)).await.unwrap();
+        let _stream = node.says(format!("HTTP/1.1 {code}\r\nContent-Length: 0\r\n\r\n").as_bytes()).await;
+        assert_eq!(outcome(&mut inbox).await.0, wanted, "{code}");
+    }
+}
