Forget nodes that are gone: the core's tables and bars stay bounded

Seen by reading: names got numbers by the table's length and were never let go (Core::numbers, Core::nodes), nor were bars (nodes/connections): both grow with every replaced node, and members() walks them at each change. Ruled out as growing: the module's servers (let go at refit when gone), the front's seats, the pool (hyper-util lets go of hosts without idle connections), names of requests.

Now a node that is gone and has no attempt out leaves the tables with its number and its bar, unless another node at the same address is barred itself. Test: tables_are_bounded_while_nodes_are_replaced, 500 rounds of new names and addresses.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -304,6 +304,7 @@
 }
 
 struct Node {
+    name: Arc<str>,
     address: Arc<str>,
     role: Role,
     state: State,
@@ -316,6 +317,7 @@
     retry_after: Time,
     most_held: usize,
     numbers: HashMap<Arc<str>, ServerId>,
+    next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
     requests: BTreeMap<RequestId, Held>,
     names: HashSet<Arc<str>>,
@@ -336,6 +338,7 @@
             retry_after,
             most_held,
             numbers: HashMap::new(),
+            next_number: 0,
             nodes: BTreeMap::new(),
             requests: BTreeMap::new(),
             names: HashSet::new(),
@@ -404,6 +407,11 @@
         self.requests.len()
     }
 
+    /// Nodes in the table: those of the list, and those that are gone and still have attempts out.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// The state for balancers in front.
     pub fn readiness(&self) -> Readiness {
         let able = |spared| self.nodes.values().any(|it| it.state == State::Ready && it.role != spared);
@@ -513,11 +521,13 @@
         let mut entries = Vec::new();
         let mut named = HashSet::new();
         for Member { name, address, mut entry } in members {
-            let next = self.numbers.len() as ServerId;
-            let server = *self.numbers.entry(name).or_insert(next);
+            let server = *self.numbers.entry(name.clone()).or_insert_with(|| {
+                self.next_number += 1;
+                self.next_number - 1
+            });
             named.insert(server);
             entry.server = server;
-            let node = Node { address: address.clone(), role: entry.role, state: entry.state };
+            let node = Node { name, address: address.clone(), role: entry.role, state: entry.state };
             let barred = entry.state != State::Ready;
             let before = self.nodes.insert(server, node);
             if before.as_ref().is_some_and(|it| it.address != address) {
@@ -538,6 +548,7 @@
                 }
             }
         }
+        self.forget_gone();
         // A node that took over an address must not inherit the bar of the one that left it.
         for node in self.nodes.values().filter(|node| node.state == State::Ready) {
             self.commands.push(Command::Bar { address: node.address.clone(), barred: false });
@@ -545,6 +556,22 @@
         self.step(now, api::Event::Members { complete, entries });
     }
 
+    /// Lets go of nodes that are gone and have no attempt out: names and addresses are ever new, and the table
+    /// must not grow with them. The bar goes too, for nothing can be sent to a node that is not in the table.
+    fn forget_gone(&mut self) {
+        let attempts = self.requests.values().flat_map(|held| &held.attempts);
+        let busy: HashSet<ServerId> = attempts.filter(|it| it.out).map(|it| it.server).collect();
+        let over = |(server, node): &(&ServerId, &Node)| node.state == State::Gone && !busy.contains(server);
+        let over: Vec<ServerId> = self.nodes.iter().filter(over).map(|(server, _)| *server).collect();
+        for server in over {
+            let Some(node) = self.nodes.remove(&server) else { continue };
+            self.numbers.remove(&node.name);
+            if self.nodes.values().all(|other| other.address != node.address) {
+                self.commands.push(Command::Bar { address: node.address, barred: false });
+            }
+        }
+    }
+
     /// Tells the module one event and does what it says.
     fn step(&mut self, now: Time, event: api::Event) {
         let mut actions = Vec::new();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -259,3 +259,38 @@
     bench.pass(5_000 * MS);
     assert_eq!((bench.sends(), bench.releases()), (19, 0));
 }
+
+/// Nodes come and go under ever new names and addresses: what is known of them goes with them, but for one that
+/// still has an attempt out, and a bar never outlives its node nor falls while another node there drains.
+#[test]
+fn tables_are_bounded_while_nodes_are_replaced() {
+    let mut bench = Bench::new(10);
+    let _answered = bench.ask(1, 0, "long");
+    let mut barred = std::collections::HashSet::new();
+    for round in 0..500 {
+        let place = |name: &str, port: usize, role, state| {
+            let address = format!("127.0.{}.{}:{port}", round / 200, round % 200).into();
+            Member { name: format!("{name}{round}").into(), address, ..member(name, role, state) }
+        };
+        let old = [place("r", 1, Role::Reader, State::Gone), place("w", 2, Role::Writer, State::Gone)];
+        let members = vec![
+            place("r", 1, Role::Reader, State::Ready),
+            place("w", 2, Role::Writer, State::Ready),
+            // It drains where the old writer was.
+            place("d", 2, Role::Writer, State::Draining),
+        ];
+        bench.hear(Event::Members { complete: true, members });
+        bench.hear(Event::Members { complete: false, members: old.into() });
+        for command in bench.commands.drain(..) {
+            match command {
+                Command::Bar { address, barred: true } => barred.insert(address),
+                Command::Bar { address, .. } => barred.remove(&address),
+                _ => continue,
+            };
+        }
+        assert!(barred.contains(&*format!("127.0.{}.{}:2", round / 200, round % 200)), "{barred:?}");
+        // The list's, and the reader that the request is out at.
+        assert!(bench.core.nodes() <= 3 + 2 && barred.len() <= 4, "{}, {barred:?}", bench.core.nodes());
+        bench.pass(1_100 * MS);
+    }
+}
