--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,6 @@
 
 /// After SIGTERM new connections are served for so long, until balancers in front have noticed.
 const GRACE: Duration = Duration::from_millis(500);
-/// Descriptors that neither clients nor nodes get: listeners, discovery, the runtime's own.
-const SPARE_SOCKETS: u64 = 64;
 
 /// A dispatcher for fleets of language-model servers.
 #[derive(Parser)]
@@ -101,15 +99,15 @@
         agent_listener = Some(listen(address).await?);
     }
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| "the seed is not hexadecimal")?;
-    let sockets = config.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(16) as usize;
+    let (client_sockets, node_sockets) = config.limits.shares();
     let memory_kb = config.limits.memory_mb.unwrap_or(192) as usize * 1024;
-    // Nodes get half of the descriptors, for an attempt needs one as its client does; sessions, where they are
-    // taken, get theirs out of the clients' half.
-    let for_sessions = if session_listener.is_some() { sessions.most_sessions.min(sockets / 4) } else { 0 };
+    // Sessions, where they are taken, get theirs out of the clients' part.
+    let for_sessions =
+        if session_listener.is_some() { sessions.most_sessions.min(client_sockets / 2) } else { 0 };
 
     let clock = Clock::start();
     let (door, inbox) = dispatch::door();
-    let most_held = site.bounds.most_held.min(sockets / 2);
+    let most_held = site.bounds.most_held.min(node_sockets);
     let mut core = Core::new(site.settings.clone(), most_held, seed, clock.now(), log.clone());
     let mut members_site = Site::new(&config.settings)?;
     if let Some(known) = &config.known {
@@ -117,7 +115,7 @@
     }
     let (commands, commanded) = mpsc::channel(1024);
     let speak_sessions = sessions.nodes.iter().cloned().collect();
-    let (bounds, node_sockets) = (site.bounds, sockets / 2);
+    let bounds = site.bounds;
     // Without any of these the dispatcher would take requests and answer none: it ends instead.
     let mut vital = JoinSet::new();
     vital.spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
@@ -130,7 +128,7 @@
     let site = Arc::new(site);
     let rooms = Rooms::new(memory_kb / 3);
     let routes = platform::routes(door.clone(), site.clone(), rooms.clone(), log.clone());
-    let most = sockets / 2 - for_sessions;
+    let most = client_sockets - for_sessions;
     let mut fronts = JoinSet::new();
     fronts.spawn(listener::serve(platform_listener, routes, most, stop.clone(), log.clone()));
     let options = Arc::new(Sessions { most_sessions: for_sessions.max(1), ..sessions });
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -316,6 +316,18 @@
     pub sockets: Option<u64>,
 }
 
+/// Descriptors that neither clients nor nodes get: listeners, discovery, the log, the runtime's own.
+const SPARE_SOCKETS: u64 = 32;
+
+impl Machine {
+    /// Descriptors for clients' connections, and for those to nodes. Clients get five eighths: beside an open
+    /// request, which needs one on either side, there are those that stand idle or mute until they may be closed.
+    pub fn shares(&self) -> (usize, usize) {
+        let sockets = self.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(16) as usize;
+        (sockets * 5 / 8, sockets - sockets * 5 / 8)
+    }
+}
+
 /// The configuration file of a real dispatcher.
 #[derive(Deserialize)]
 pub struct Config {
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -134,3 +134,14 @@
     let took = (0..70).map(|_| events.take(&[b':'; 1024])).take_while(Result::is_ok).count();
     assert_eq!(took, 64, "an event without an end is not kept for ever");
 }
+
+#[test]
+fn descriptors_are_shared_out_and_some_are_spare() {
+    for sockets in [64, 256, 512, 768, 1024] {
+        let config = config().replace(r#""limits":{}"#, &format!(r#""limits":{{"sockets":{sockets}}}"#));
+        let (clients, nodes) = Config::parse(&config).unwrap().limits.shares();
+        assert_eq!(clients + nodes + 32, sockets);
+        // A third is open requests: as many connections to nodes, and as many idle ones beside.
+        assert!(sockets < 256 || nodes >= sockets / 3 - 2 && clients >= sockets / 2, "{clients}, {nodes}");
+    }
+}
