Judge servers against their peers; a broken connection no longer sets one aside

Ruled out: dead servers (0 connections refused), probes (1 lost), the listener (0 connections not taken).

Now only a connection that can't be opened tells of a dead server, and shares of failures count as far as they are above the mean of the peers of the same role.

Test: what_all_suffer_alike_sets_nobody_aside (two of four readers in use without the change).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,7 +39,7 @@
 const OVERDUE_MULTIPLE: f64 = 1.5; // ... and after this multiple of it
 const SPARE_PER_REQUEST: f64 = 0.10; // second copies and moves that a request pays for ...
 const SPARE_MOST: f64 = 5.0; // ... and the most that are saved up
-const SICK: f64 = 0.2; // a server is set aside when this share of its recent attempts failed
+const SICK: f64 = 0.2; // a server is set aside when it failed so much more of its recent attempts than its peers
 const PAUSE_DOUBLINGS: u32 = 3; // its pause is the shortest aim, doubled up to so many times
 const COLD_PART: f64 = 1.0; // part of a cold server's budget that is used, reckoned as if it stayed as cold
 const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
@@ -367,16 +367,27 @@
     }
 
     /// A failure: too many of them, one in a trial, or one that tells of a dead server set the server aside.
+    /// What all of its peers suffer alike tells nothing of it: setting one after another aside jams the rest.
     fn blame(&mut self, id: ServerId, at_once: bool) {
         let (now, pause) = (self.now, self.pause);
+        let usual = self.usual_failing(id);
         let Some(server) = self.servers.get_mut(&id) else { return };
         blend(&mut server.failing, 1.0);
-        if (at_once || server.failing > SICK || server.pauses > 0) && now >= server.paused_until {
+        let sick = server.failing > usual + SICK;
+        if (at_once || sick || server.pauses > 0) && now >= server.paused_until {
             server.paused_until = now + (pause << server.pauses.min(PAUSE_DOUBLINGS));
             server.pauses += 1;
         }
     }
 
+    /// The share of recent attempts that failed at a server's peers, on the mean.
+    fn usual_failing(&self, id: ServerId) -> f64 {
+        let Some(server) = self.servers.get(&id) else { return 0.0 };
+        let peer = |(other, it): &(&ServerId, &Server)| **other != id && it.entry.role == server.entry.role;
+        let peers: Vec<f64> = self.servers.iter().filter(peer).map(|(_, it)| it.failing).collect();
+        peers.iter().sum::<f64>() / peers.len().max(1) as f64
+    }
+
     fn arrive(&mut self, ask: Ask) {
         let id = ask.id;
         let Some(class) = self.settings.classes.get(ask.class) else {
@@ -462,9 +473,10 @@
             server.waiting.remove(&(id, at));
             add(&mut server.own, &attempt.work, -1.0);
         }
-        let dead = matches!(status, Status::Reset | Status::ConnectFailed);
-        let full = status == Status::Full && note == 0.0;
-        if dead || full || status == Status::Error || (status == Status::Timeout && attempt.checked) {
+        // A connection that broke is one failure; that of a dead server is followed by one that can't be opened.
+        let dead = status == Status::ConnectFailed;
+        let failed = matches!(status, Status::Reset | Status::Error) || status == Status::Full && note == 0.0;
+        if dead || failed || (status == Status::Timeout && attempt.checked) {
             self.blame(server, dead);
         }
         (request.held_since, request.retry_at, request.asked) = (now, now, None);
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -184,3 +184,23 @@
     }
     assert!(sent < 8, "{sent} of 100 went to the full reader");
 }
+
+/// Answers that get lost at all servers alike tell nothing of any of them: setting one after another aside sends
+/// everything to the rest.
+#[test]
+fn what_all_suffer_alike_sets_nobody_aside() {
+    let mut desk = taught();
+    for id in 1_000..1_200 {
+        if id % 7 > 0 {
+            desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
+            continue;
+        }
+        let reader = sent_to(&desk.ask(ask(id, id)), id).expect("sent");
+        let again = sent_to(&desk.outcome(id, 0, reader, Status::Reset), id).expect("sent again");
+        desk.hear(Event::Gone { id });
+        desk.outcome(id, 1, again, Status::Cancelled);
+    }
+    let used: std::collections::BTreeSet<_> =
+        (2_000..2_040).filter_map(|id| sent_to(&desk.ask(ask(id, id)), id)).collect();
+    assert_eq!(used.len(), 4, "{used:?}");
+}
