--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,7 +39,7 @@
 const OVERDUE_MULTIPLE: f64 = 1.5; // ... and after this multiple of it
 const SPARE_PER_REQUEST: f64 = 0.10; // second copies and moves that a request pays for ...
 const SPARE_MOST: f64 = 5.0; // ... and the most that are saved up
-const SICK: f64 = 0.2; // a server is set aside when it failed so much more of its recent attempts than its peers
+const SICK: f64 = 0.2; // a server is set aside when it failed so much more of late than its peers did
 const PAUSE_DOUBLINGS: u32 = 3; // its pause is the shortest aim, doubled up to so many times
 const COLD_PART: f64 = 1.0; // part of a cold server's budget that is used, reckoned as if it stayed as cold
 const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
@@ -473,7 +473,7 @@
             server.waiting.remove(&(id, at));
             add(&mut server.own, &attempt.work, -1.0);
         }
-        // A connection that broke is one failure; that of a dead server is followed by one that can't be opened.
+        // A broken connection is one failure; that of a dead server is followed by one that does not open.
         let dead = status == Status::ConnectFailed;
         let failed = matches!(status, Status::Reset | Status::Error) || status == Status::Full && note == 0.0;
         if dead || failed || (status == Status::Timeout && attempt.checked) {
