Fail what must not run twice at once; keep two attempts to read anew and write

A status-query with a second read, a spoilt answer and a writer that found the state gone read anew with its fifth attempt, and had none left to write: refused after a wasted read. Ruled out: cancelled writes as a reason to give a state up.

Tests: two in rules.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -497,8 +497,19 @@
             }
             Status::Ok => self.streamed(&request.ask, attempt, note),
             Status::Full if note > 0.0 => request.state_at = None,
+            // It may have taken the state. Asking another writer costs an attempt: where that would leave too
+            // few to read anew and write, the state is given up for gone.
+            Status::Error | Status::Reset if attempt.stage == Stage::Write => {
+                let left = self.settings.max_attempts.saturating_sub(request.attempts.len() as u32);
+                request.state_at = request.state_at.filter(|_| left >= 3);
+            }
             _ => {}
         }
+        // One that may have run and must not run twice is given up, and its client told so at once.
+        let unsafe_class = self.settings.classes[request.ask.class].effect == Effect::Unsafe;
+        if unsafe_class && !request.begun && request.attempts.iter().any(|it| !it.out && !it.harmless) {
+            return self.end(request);
+        }
         self.place(request);
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -233,3 +233,32 @@
     let actions = desk.outcome(1, 1, second, Status::Read);
     assert!(!actions.contains(&Action::Release { id: 1 }), "{actions:?}");
 }
+
+/// Nothing more can be done for it, and its client can act on that now, not when its time is nearly up.
+#[test]
+fn what_may_have_run_and_must_not_again_is_failed_at_once() {
+    for status in [Status::Error, Status::Reset, Status::Timeout, Status::Cancelled] {
+        let mut desk = desk(Effect::Unsafe, [pair(), vec![server(3, Role::Writer)]].concat());
+        desk.ask(ask(1, 1));
+        let writer = sent_to(&desk.outcome(1, 0, 1, Status::Read), 1).expect("a writer");
+        let actions = desk.outcome(1, 1, writer, status);
+        assert!(actions.contains(&Action::Fail { id: 1 }), "{status:?}: {actions:?}");
+        assert!(actions.contains(&Action::Release { id: 1 }), "{status:?}: {actions:?}");
+        assert_eq!(finals(&desk.pass(5 * SECOND), 1), 0);
+    }
+}
+
+/// A writer that failed may have taken the state. With three attempts left another is asked for it; with two they
+/// are for reading anew and writing, and none is spent on finding the state gone.
+#[test]
+fn the_last_two_attempts_read_anew_and_write() {
+    for (most, again) in [(5, Role::Writer), (4, Role::Reader)] {
+        let tight = Settings { max_attempts: most, ..settings(vec![class(1.0, Effect::Safe)]) };
+        let servers = [pair(), vec![server(3, Role::Writer), server(4, Role::Reader)]].concat();
+        let mut desk = Desk::new(tight, servers);
+        let reader = sent_to(&desk.ask(ask(1, 1)), 1).expect("a reader");
+        let writer = sent_to(&desk.outcome(1, 0, reader, Status::Read), 1).expect("a writer");
+        let next = sent_to(&desk.outcome(1, 1, writer, Status::Error), 1).expect("sent again");
+        assert_eq!(matches!(next, 2 | 3), again == Role::Writer, "{next}");
+    }
+}
