Tell a lack of places from a dead node; bound idle connections to each node

Seen by reading: Dialer::dial waited for a place within the dial time and failed like a node that can't be reached: the module then sets that node aside, though it was never tried; and the pool kept 64 idle connections a node, whatever the descriptors (84 for all nodes at 256).

Now a send that finds no place is Moot on both wires, and a twelfth of the places may stand idle at one node. Test: a_send_that_finds_no_place_is_moot (fails without: ConnectFailed).

--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -12,7 +12,7 @@
 use tokio::time::{timeout_at, Instant};
 
 /// Pieces of a stream that may wait for a slow client before its node is read no further.
-const PIECES: usize = 16;
+const PIECES: usize = 4;
 /// A stream without a whole event for so long has broken, whether its node is silent or sends what is none.
 const SILENCE: Duration = Duration::from_secs(4);
 
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -16,6 +16,9 @@
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
+/// All places for connections are taken.
+pub const CROWDED: io::ErrorKind = io::ErrorKind::ResourceBusy;
+
 /// A connection and its place among the descriptors that may be open.
 pub struct Wire {
     stream: TcpStream,
@@ -110,11 +113,13 @@
         self.limit
     }
 
-    /// Opens a connection; waiting for a place counts as well.
+    /// Opens a connection. Where all places are taken for as long as that may take, the error is [`CROWDED`]:
+    /// it tells nothing of the node.
     pub async fn dial(&self, address: &str) -> io::Result<Wire> {
         let target: SocketAddr = address.parse().map_err(io::Error::other)?;
+        let place = timeout(self.limit, self.places.clone().acquire_owned()).await;
+        let place = place.map_err(|_| io::Error::from(CROWDED))?.map_err(io::Error::other)?;
         let dialled = timeout(self.limit, async {
-            let place = self.places.clone().acquire_owned().await.map_err(io::Error::other)?;
             let stream = TcpStream::connect(target).await?;
             stream.set_nodelay(true)?;
             Ok(Wire { stream, _place: place })
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -4,7 +4,7 @@
 //! body was never handed to a connection.
 
 use super::attempt::{parse_load, End, Passing, Trial};
-use super::connections::Dialer;
+use super::connections::{Dialer, CROWDED};
 use crate::api::{Load, Status};
 use bytes::Bytes;
 use http_body::Frame;
@@ -92,22 +92,44 @@
     (kept, load)
 }
 
-/// What an exchange has come to that may have run: an error where the node's answer can't be read, which tells
-/// nothing of the node's health, and a reset where its connection broke.
-fn broken(error: &(dyn Error + 'static)) -> Status {
-    let unreadable = |error: &(dyn Error + 'static)| {
-        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
-        error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
-            || matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
-    };
+/// Whether this holds for an error or for one that it comes from.
+fn any_cause(error: &(dyn Error + 'static), holds: impl Fn(&(dyn Error + 'static)) -> bool) -> bool {
     let mut next = Some(error);
     while let Some(error) = next {
-        if unreadable(error) {
-            return Status::Error;
+        if holds(error) {
+            return true;
         }
         next = error.source();
     }
-    Status::Reset
+    false
+}
+
+fn kind(error: &(dyn Error + 'static)) -> Option<io::ErrorKind> {
+    error.downcast_ref::<io::Error>().map(io::Error::kind)
+}
+
+/// What an exchange has come to that may have run: an error where the node's answer can't be read, which tells
+/// nothing of the node's health, and a reset where its connection broke.
+fn broken(error: &(dyn Error + 'static)) -> Status {
+    let unreadable = any_cause(error, |error| {
+        error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
+            || matches!(kind(error), Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
+    });
+    if unreadable {
+        Status::Error
+    } else {
+        Status::Reset
+    }
+}
+
+/// What an exchange has come to that never ran: the node can't be reached, or it was not even tried, for all places
+/// were taken.
+fn never_ran(error: &(dyn Error + 'static)) -> Status {
+    if any_cause(error, |error| kind(error) == Some(CROWDED)) {
+        Status::Moot
+    } else {
+        Status::ConnectFailed
+    }
 }
 
 /// The client, with its pool of connections. Cheap to clone.
@@ -119,15 +141,16 @@
 }
 
 impl Http {
-    /// A client without connections. One that was idle for `idle_time` is not used again.
-    pub fn new(dialer: Dialer, idle_time: Duration, log: Logger) -> Self {
+    /// A client without connections. One that was idle for `idle_time` is not used again, and no more than
+    /// `most_idle` are kept for a node: what some nodes don't need is for the others.
+    pub fn new(dialer: Dialer, idle_time: Duration, most_idle: usize, log: Logger) -> Self {
         let client = Client::builder(TokioExecutor::new())
             // A resend is an attempt of its own, which only the core may order.
             .retry_canceled_requests(false)
             .set_host(true)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(idle_time)
-            .pool_max_idle_per_host(64)
+            .pool_max_idle_per_host(most_idle)
             // A node's head must fit; one that does not end is found out the sooner, and costs no more.
             .http1_max_buf_size(BUFFER)
             .build(dialer.clone());
@@ -173,7 +196,7 @@
                 debug!(self.log, "attempt failed"; "id" => trial.id, "attempt" => trial.attempt,
                     "address" => %trial.address, "error" => ?error);
                 let never = error.is_connect() || !taken.load(Ordering::Relaxed);
-                return if never { Status::ConnectFailed } else { broken(&error) }.into();
+                return if never { never_ran(&error) } else { broken(&error) }.into();
             }
             Err(_) => return Status::Timeout.into(),
         };
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -31,6 +31,8 @@
 const LEASE_TRIES: Duration = Duration::from_secs(5);
 /// Between two rounds of lease calls.
 const LEASE_PAUSE: Duration = Duration::from_millis(20);
+/// So much of all connections to nodes may stand idle at one of them.
+const IDLE_PART: usize = 12;
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
 
@@ -92,7 +94,8 @@
     let dialer = Dialer::new(Duration::from_micros(bounds.dial), sockets);
     // Nodes close what was idle for the settings' time; a request written then would be lost.
     let idle = Duration::from_micros(bounds.idle * 7 / 10);
-    let http = Http::new(dialer.clone(), idle, log.clone());
+    let most_idle = (sockets / IDLE_PART).max(1);
+    let http = Http::new(dialer.clone(), idle, most_idle, log.clone());
     let sessions = Sessions::new(dialer.clone(), idle, log.clone());
     let shared = Shared { http, sessions, speak_sessions: Arc::new(speak_sessions), door, log };
     let mut tasks: JoinSet<()> = JoinSet::new();
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -4,7 +4,7 @@
 //! looked at before it is used again, and none goes to a node that drains.
 
 use super::attempt::{parse_load, End, Passing, Trial};
-use super::connections::{Dialer, Wire};
+use super::connections::{Dialer, Wire, CROWDED};
 use crate::api::Status;
 use bytes::Bytes;
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -22,6 +22,8 @@
 const PATH: &str = "/v1/sessions";
 /// A node's message may have so many bytes.
 const MOST: usize = 256 * 1024;
+/// A session's read buffer.
+const BUFFER: usize = 8 * 1024;
 /// Idle sessions that are kept for a node.
 const MOST_IDLE: usize = 16;
 
@@ -72,6 +74,11 @@
     }
 }
 
+fn config() -> WebSocketConfig {
+    let config = WebSocketConfig::default().max_message_size(Some(MOST)).max_frame_size(Some(MOST));
+    config.read_buffer_size(BUFFER)
+}
+
 /// Sessions to nodes, and those that are idle.
 #[derive(Clone)]
 pub struct Sessions {
@@ -118,17 +125,23 @@
         }
     }
 
-    async fn open(&self, address: &str) -> Option<Session> {
+    /// A new session, or why none came up; nothing has run either way.
+    async fn open(&self, address: &str) -> Result<Session, Status> {
+        let wire = self.dialer.dial(address).await.map_err(|error| match error.kind() {
+            CROWDED => Status::Moot,
+            _ => Status::ConnectFailed,
+        })?;
         let opened = timeout(self.dialer.limit(), async {
-            let wire = self.dialer.dial(address).await.ok()?;
-            let config = WebSocketConfig::default().max_message_size(Some(MOST)).max_frame_size(Some(MOST));
             let url = format!("ws://{address}{PATH}");
-            let opened = tokio_tungstenite::client_async_with_config(url, wire, Some(config)).await;
+            let opened = tokio_tungstenite::client_async_with_config(url, wire, Some(config())).await;
             opened.map_err(|error| debug!(self.log, "no session"; "error" => %error)).ok()
         });
-        let (session, _) = opened.await.ok().flatten()?;
+        let (session, _) = opened.await.ok().flatten().ok_or(Status::ConnectFailed)?;
         // The drain rule counts from a send's first byte: one that waited here is checked again.
-        (!self.dialer.is_barred(address)).then_some(session)
+        if self.dialer.is_barred(address) {
+            return Err(Status::ConnectFailed);
+        }
+        Ok(session)
     }
 
     /// Runs an attempt to its end.
@@ -137,14 +150,14 @@
         if self.dialer.is_barred(&trial.address) {
             return Status::Moot.into();
         }
-        let taken = match self.take(&trial.address) {
-            Some(session) => Some(session),
+        let mut session = match self.take(&trial.address) {
+            Some(session) => session,
             None => match timeout_at(until, self.open(&trial.address)).await {
-                Ok(opened) => opened,
+                Ok(Ok(session)) => session,
+                Ok(Err(status)) => return status.into(),
                 Err(_) => return Status::ConnectFailed.into(),
             },
         };
-        let Some(mut session) = taken else { return Status::ConnectFailed.into() };
         // The body goes with its last byte: a long stream keeps none of it.
         let body = std::mem::take(&mut trial.work.body);
         // Text messages carry text: a body that is none is not sent, rather than sent as something else.
@@ -225,6 +238,7 @@
     async fn reopen(&self, address: &str) -> Option<Session> {
         let wire = self.dialer.dial(address).await.ok()?;
         let url = format!("ws://{address}{PATH}");
-        tokio_tungstenite::client_async(url, wire).await.ok().map(|(session, _)| session)
+        let opened = tokio_tungstenite::client_async_with_config(url, wire, Some(config())).await;
+        opened.ok().map(|(session, _)| session)
     }
 }
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -131,3 +131,20 @@
         std::future::poll_fn(|context| std::task::Poll::Ready(listener.poll_accept(context).is_ready()));
     assert!(!again.await, "no library resends it");
 }
+
+/// A send that finds all places taken was never tried, and tells nothing of its node.
+#[tokio::test(start_paused = true)]
+async fn a_send_that_finds_no_place_is_moot() {
+    for over_sessions in [false, true] {
+        let fleet = Fleet::start(over_sessions).await;
+        fleet.way(0, Way::Wait);
+        let speak = if over_sessions { fleet.addresses.clone() } else { Vec::new() };
+        let (commands, mut inbox) = node_side(&speak);
+        for id in 0..10 {
+            commands.send(send(id, &fleet.addresses[0])).await.unwrap();
+        }
+        fleet.until("ten are out", |ledger| ledger.sent.len() == 10).await;
+        commands.send(send(10, &fleet.addresses[1])).await.unwrap();
+        assert_eq!(ended(&mut inbox).await, Status::Moot);
+    }
+}
