Let stalled clients go; silent sessions make room; scale sessions to the limits

Seen by reading: a client that takes nothing of its answer held its seat and its node for ever (listener.rs knew no limit for an open request); at the limit a new session got 503 for as long as silent ones stayed; sessions had their descriptors twice (handshakes and sessions), a read buffer of 128 KiB each, and a record of 8 MB, whatever the memory.

Tests: a_client_that_takes_nothing_of_its_answer_is_let_go, at_the_limit_a_silent_session_makes_room, shares.

--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -33,6 +33,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(90);
 /// At the limit, one that has stood idle so long makes room for a new one.
 const SPARED_TIME: Duration = Duration::from_millis(2000);
+/// A client that takes nothing of its answer for so long is gone, and its node is to be freed.
+const STALL_TIME: Duration = Duration::from_secs(30);
 /// A connection's read buffer: a head must fit.
 const BUFFER: usize = 16 * 1024;
 
@@ -52,6 +54,7 @@
 /// One connection, as its listener sees it.
 struct Seat {
     state: Mutex<(Phase, Instant)>,
+    stalled: Mutex<Option<Instant>>,
     changed: Notify,
     close: Notify,
 }
@@ -59,7 +62,7 @@
 impl Seat {
     fn new() -> Arc<Seat> {
         let state = Mutex::new((Phase::New, Instant::now()));
-        Arc::new(Seat { state, changed: Notify::new(), close: Notify::new() })
+        Arc::new(Seat { state, stalled: Mutex::default(), changed: Notify::new(), close: Notify::new() })
     }
 
     fn state(&self) -> MutexGuard<'_, (Phase, Instant)> {
@@ -83,6 +86,21 @@
         self.changed.notify_one();
     }
 
+    fn stalled(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.stalled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The client has taken some of an answer, or would take no more at this moment.
+    fn wrote<T>(&self, wrote: &Poll<T>) {
+        let mut stalled = self.stalled();
+        if wrote.is_ready() {
+            *stalled = None;
+        } else if stalled.is_none() {
+            *stalled = Some(Instant::now());
+            self.changed.notify_one();
+        }
+    }
+
     /// Since when it could make room for another: it waits for a client that owes nothing and is owed nothing.
     fn idle_since(&self) -> Option<Instant> {
         let (phase, since) = *self.state();
@@ -96,7 +114,7 @@
             let limit = match phase {
                 Phase::New | Phase::Head => Some(since + HEAD_TIME),
                 Phase::Idle => Some(since + IDLE_TIME),
-                Phase::Open => None,
+                Phase::Open => self.stalled().map(|since| since + STALL_TIME),
             };
             let late = async {
                 match limit {
@@ -105,7 +123,12 @@
                 }
             };
             tokio::select! {
-                () = late => return,
+                () = late => {
+                    // What was taken meanwhile counts: only a client that is still as it was has to go.
+                    if phase != Phase::Open || self.stalled().is_some_and(|it| it + STALL_TIME <= Instant::now()) {
+                        return;
+                    }
+                }
                 () = self.close.notified() => {
                     // A request that came in between is not cut off.
                     if self.idle_since().is_some() {
@@ -175,7 +198,9 @@
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let wrote = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.seat.wrote(&wrote);
+        wrote
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -193,7 +218,9 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.seat.wrote(&wrote);
+        wrote
     }
 }
 
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -22,13 +22,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{interval_at, sleep_until, timeout, Instant};
 
 /// Sessions that may ask for a live request before its task has come to the first.
 const ATTACHING: usize = 4;
 /// Messages that may wait for a session's socket.
 const OUTGOING: usize = 32;
+/// At the limit, a session without an open request that has asked nothing for so long makes room for a new one ...
+const SPARED_TIME: Duration = Duration::from_millis(2000);
+/// ... which waits for it so long.
+const ROOM_TIME: Duration = Duration::from_millis(1500);
+/// A socket's read buffer; a larger message takes more while it is read, a silent session does not.
+const BUFFER: usize = 8 * 1024;
 /// When a request that found a bound reached may come again.
 const BUSY: Duration = Duration::from_millis(500);
 /// How long the core is waited for to tell whether a request that was left may have run.
@@ -177,6 +183,21 @@
     }
 }
 
+/// A session, as a new one that finds no place sees it.
+struct Stand {
+    /// Since when it has asked nothing.
+    since: Mutex<Instant>,
+    /// The places for its requests: all are free while none is open.
+    places: Arc<Semaphore>,
+    close: Notify,
+}
+
+impl Stand {
+    fn since(&self) -> MutexGuard<'_, Instant> {
+        self.since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// What sessions share.
 #[derive(Clone)]
 pub struct Shared {
@@ -186,6 +207,7 @@
     rooms: Rooms,
     records: Arc<Mutex<Records>>,
     places: Arc<Semaphore>,
+    stands: Arc<Mutex<HashMap<u64, Arc<Stand>>>>,
     names: Arc<AtomicU64>,
     boot: u64,
     stop: watch::Receiver<bool>,
@@ -205,6 +227,7 @@
             records: Arc::default(),
             places: Arc::new(Semaphore::new(options.most_sessions)),
             options,
+            stands: Arc::default(),
             names: Arc::default(),
             boot: hash(&seed.to_string()),
             stop,
@@ -217,6 +240,26 @@
         let _ = self.places.acquire_many(self.options.most_sessions as u32).await;
     }
 
+    fn stands(&self) -> MutexGuard<'_, HashMap<u64, Arc<Stand>>> {
+        self.stands.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a new session. At the limit the one that has been without a request for longest is closed for
+    /// it: to come back is no new try, and silent ones must not lock the others out.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = self.places.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        let longest = {
+            let stands = self.stands();
+            let idle =
+                stands.values().filter(|it| it.places.available_permits() == self.options.most_requests);
+            idle.min_by_key(|it| *it.since()).filter(|it| it.since().elapsed() >= SPARED_TIME).cloned()
+        };
+        longest?.close.notify_one();
+        timeout(ROOM_TIME, self.places.clone().acquire_owned()).await.ok()?.ok()
+    }
+
     fn records(&self) -> MutexGuard<'_, Records> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -231,13 +274,18 @@
     if *shared.stop.borrow() {
         return (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response();
     }
-    let Ok(place) = shared.places.clone().try_acquire_owned() else {
+    let Some(place) = shared.place().await else {
         return (StatusCode::SERVICE_UNAVAILABLE, "too many sessions\n").into_response();
     };
     let most = shared.options.most_message;
-    let upgrade = upgrade.max_message_size(most).max_frame_size(most);
+    let upgrade = upgrade.max_message_size(most).max_frame_size(most).read_buffer_size(BUFFER);
     upgrade.on_upgrade(move |socket| async move {
-        session(&shared, socket).await;
+        let places = Arc::new(Semaphore::new(shared.options.most_requests));
+        let stand = Stand { since: Mutex::new(Instant::now()), places, close: Notify::new() };
+        let (number, stand) = (shared.names.fetch_add(1, Ordering::Relaxed), Arc::new(stand));
+        shared.stands().insert(number, stand.clone());
+        session(&shared, &stand, socket).await;
+        shared.stands().remove(&number);
         drop(place);
     })
 }
@@ -263,12 +311,12 @@
 }
 
 /// One socket: reads calls, writes answers, pings, and ends it with the close code that fits.
-async fn session(shared: &Shared, mut socket: WebSocket) {
+async fn session(shared: &Shared, stand: &Stand, mut socket: WebSocket) {
     let options = &shared.options;
     let silent = Duration::from_millis(options.silent_ms);
     let every = Duration::from_millis(options.ping_ms);
     let (outgoing, mut waiting) = mpsc::channel::<Message>(OUTGOING);
-    let places = Arc::new(Semaphore::new(options.most_requests));
+    let places = stand.places.clone();
     let mut cancels: HashMap<String, mpsc::Sender<()>> = HashMap::new();
     let mut heard = Instant::now();
     let mut pings = interval_at(heard + every, every);
@@ -287,6 +335,12 @@
             }
             // A request that ends frees its place: while stopping, that may be the last one.
             Ok(_) = places.acquire_many(options.most_requests as u32), if stopping => None,
+            () = stand.close.notified() => {
+                if places.available_permits() == options.most_requests && waiting.is_empty() {
+                    break Some((close_code::AGAIN, "no session is free"));
+                }
+                None
+            }
             _ = pings.tick() => {
                 if heard.elapsed() > silent {
                     debug!(shared.log, "a session fell silent");
@@ -301,6 +355,7 @@
                     Some(Ok(Message::Ping(_) | Message::Pong(_))) => None,
                     Some(Ok(Message::Binary(_))) => break Some((close_code::UNSUPPORTED, "text messages only")),
                     Some(Ok(Message::Text(text))) => {
+                        *stand.since() = heard;
                         cancels.retain(|_, cancel| !cancel.is_closed());
                         call(shared, &text, &outgoing, &places, &mut cancels, stopping)
                     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -100,10 +100,10 @@
     }
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| "the seed is not hexadecimal")?;
     let (client_sockets, node_sockets) = config.limits.shares();
-    let memory_kb = config.limits.memory_mb.unwrap_or(192) as usize * 1024;
+    let memory = (config.limits.memory_mb.unwrap_or(192) as usize).saturating_mul(1 << 20);
+    let (sessions, shaking) = sessions.within(client_sockets, memory);
     // Sessions, where they are taken, get theirs out of the clients' part.
-    let for_sessions =
-        if session_listener.is_some() { sessions.most_sessions.min(client_sockets / 2) } else { 0 };
+    let for_sessions = session_listener.as_ref().map_or(0, |_| sessions.most_sessions + shaking);
 
     let clock = Clock::start();
     let (door, inbox) = dispatch::door();
@@ -126,16 +126,16 @@
 
     let (set_stop, stop) = watch::channel(false);
     let site = Arc::new(site);
-    let rooms = Rooms::new(memory_kb / 3);
+    let rooms = Rooms::new(memory / 1024 / 3);
     let routes = platform::routes(door.clone(), site.clone(), rooms.clone(), log.clone());
     let most = client_sockets - for_sessions;
     let mut fronts = JoinSet::new();
     fronts.spawn(listener::serve(platform_listener, routes, most, stop.clone(), log.clone()));
-    let options = Arc::new(Sessions { most_sessions: for_sessions.max(1), ..sessions });
+    let options = Arc::new(sessions);
     let shared = websocket::Shared::new(door.clone(), site, options, rooms, seed, stop.clone(), log.clone());
     if let Some(at) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        fronts.spawn(listener::serve(at, routes, for_sessions, stop.clone(), log.clone()));
+        fronts.spawn(listener::serve(at, routes, shaking, stop.clone(), log.clone()));
     }
     if let Some(at) = agent_listener {
         fronts.spawn(health::serve_agent(at, door.clone(), stop.clone(), log.clone()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -429,4 +429,13 @@
         }
         Ok(sessions)
     }
+
+    /// The same within a machine's limits: three eighths of the clients' descriptors, a quarter of the memory for
+    /// messages on their way, an eighth for the record. Told beside it: descriptors for connections that are no
+    /// session yet.
+    pub fn within(self, sockets: usize, memory: usize) -> (Sessions, usize) {
+        let most = self.most_sessions.min(sockets * 3 / 8).min(memory / 4 / self.most_message);
+        let record_bytes = self.record_bytes.min(memory / 8);
+        (Sessions { most_sessions: most.max(1), record_bytes, ..self }, (sockets / 8).max(1))
+    }
 }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -2,6 +2,7 @@
 
 mod stand;
 
+use axum::body::Body;
 use axum::routing::{get, post};
 use axum::Router;
 use quartzhall::fronts::listener;
@@ -107,3 +108,25 @@
         assert!(told.contains("connection: close") && !told.contains("ready."), "{told}");
     }
 }
+
+/// An answer that nobody takes would hold its node for ever; one that is taken, however late, goes on.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_takes_nothing_of_its_answer_is_let_go() {
+    const FLOOD: usize = 64 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (_stop, stopped) = watch::channel(false);
+    let flood = || async {
+        let pieces = (0..FLOOD >> 16).map(|_| Ok::<_, std::io::Error>(vec![b'x'; 1 << 16]));
+        Body::from_stream(futures_util::stream::iter(pieces))
+    };
+    let routes = Router::new().route("/ready", get(flood));
+    tokio::spawn(listener::serve(listener, routes, 2, stopped, Logger::root(Discard, o!())));
+    for (pause, whole) in [(25, true), (35, false)] {
+        let mut client = send(&address, GET).await;
+        client.read_u8().await.unwrap();
+        sleep(Duration::from_secs(pause)).await;
+        let told = read(&mut client, "0\r\n\r\n").await;
+        assert_eq!((told.len() > FLOOD, told.ends_with("0\r\n\r\n")), (whole, whole), "{pause} s");
+    }
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -141,6 +141,10 @@
         let config = config().replace(r#""limits":{}"#, &format!(r#""limits":{{"sockets":{sockets}}}"#));
         let (clients, nodes) = Config::parse(&config).unwrap().limits.shares();
         assert_eq!(clients + nodes + 32, sockets);
+        // Sessions fit into the clients' part and a small memory.
+        let (sessions, shaking) = Sessions::parse("{}").unwrap().within(clients, 32 << 20);
+        assert!(sessions.most_sessions > 0 && sessions.most_sessions + shaking <= clients / 2);
+        assert!(sessions.most_sessions * sessions.most_message + sessions.record_bytes <= 12 << 20);
         // A third is open requests: as many connections to nodes, and as many idle ones beside.
         assert!(sockets < 256 || nodes >= sockets / 3 - 2 && clients >= sockets / 2, "{clients}, {nodes}");
     }
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -316,3 +316,31 @@
     fleet.nothing_left().await;
     assert_eq!(fleet.sent_to(2), 1);
 }
+
+/// Silent sessions take no place for good: at the limit the one without a request for longest is closed for a new
+/// one, and none with an open request.
+#[tokio::test]
+async fn at_the_limit_a_silent_session_makes_room() {
+    let fleet = Fleet::start(false).await;
+    fleet.way(2, Way::Wait);
+    let mut busy = Terminal::connect(&fleet).await;
+    busy.ask("b1", "status-query", 60_000).await;
+    fleet.until("it waits at the writer", |ledger| ledger.sent.len() == 2).await;
+    fleet.way(2, Way::Serve);
+    let mut silent = Vec::new();
+    for _ in 0..3 {
+        silent.push(Terminal::connect(&fleet).await);
+    }
+    let url = format!("ws://{}/v1/sessions", fleet.sessions);
+    assert!(tokio_tungstenite::connect_async(&url).await.is_err(), "none has been silent for long enough");
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_secs(2)).await;
+    tokio::time::resume();
+    let (mut new, closed) = tokio::join!(Terminal::connect(&fleet), silent[0].hear());
+    assert_eq!(closed, ("close".into(), "1013".into()));
+    new.ask("n1", "status-query", 2000).await;
+    assert_eq!(new.hear_final("n1").await.0, "served");
+
+    busy.say(r#"{"type":"cancel","id":"b1"}"#).await;
+    assert_eq!(busy.hear_final("b1").await.0, "failed", "it was open all the time");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -289,7 +289,7 @@
         tokio::spawn(dispatch::run(core, clock, inbox, commands));
         let (stop, stopped) = watch::channel(false);
         let site = Arc::new(site);
-        let options = r#"{"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
+        let options = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let options = Arc::new(Sessions::parse(options).unwrap());
         let (listener, sessions) = bind().await;
         let rooms = Rooms::new(10_000);
