At the limit mute connections make room after 0.3 s; log the limits at the start

So the seats it is: a mute connection held its seat for 2 s at the limit (SPARED_TIME), and crowds of them keep the next clients in the listener's queue. A client that waited there has its request in the socket when it is taken; one that has sent nothing 0.3 s later is mute. A close notice is now checked against the time, so that a request that has just ended keeps its 2 s.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -431,6 +431,7 @@
         }
         // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
         if self.requests.len() >= self.most_held {
+            debug!(self.log, "refused: as much is held as may be"; "held" => self.requests.len());
             let _ = answer.send(Answer::Refused(Duration::from_micros(self.retry_after)));
             return;
         }
--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -35,6 +35,9 @@
 const SPARED_TIME: Duration = Duration::from_millis(2000);
 /// A client that takes nothing of its answer for so long is gone, and its node is to be freed.
 const STALL_TIME: Duration = Duration::from_secs(30);
+/// At the limit, one that has said nothing at all makes room sooner: a client connects when it has something to
+/// ask, so that its request is there when it is taken, and crowds of mute ones would keep it waiting for seconds.
+const MUTE_TIME: Duration = Duration::from_millis(300);
 /// A connection's read buffer: a head must fit.
 const BUFFER: usize = 16 * 1024;
 
@@ -101,10 +104,14 @@
         }
     }
 
-    /// Since when it could make room for another: it waits for a client that owes nothing and is owed nothing.
-    fn idle_since(&self) -> Option<Instant> {
+    /// From when on it may make room for another: it waits for a client that owes nothing and is owed nothing.
+    fn spared_at(&self) -> Option<Instant> {
         let (phase, since) = *self.state();
-        matches!(phase, Phase::New | Phase::Idle).then_some(since)
+        match phase {
+            Phase::New => Some(since + MUTE_TIME),
+            Phase::Idle => Some(since + SPARED_TIME),
+            Phase::Head | Phase::Open => None,
+        }
     }
 
     /// Returns when the connection has to go.
@@ -130,8 +137,8 @@
                     }
                 }
                 () = self.close.notified() => {
-                    // A request that came in between is not cut off.
-                    if self.idle_since().is_some() {
+                    // What came in between counts: a request, or the end of one.
+                    if self.spared_at().is_some_and(|at| at <= Instant::now()) {
                         return;
                     }
                 }
@@ -271,24 +278,21 @@
 }
 
 impl Seats {
-    /// A place for a new connection. At the limit the one that has stood idle longest is closed for it; where
-    /// none has done so for long enough, the new one waits in the listener's queue.
+    /// A place for a new connection. At the limit a mute one, or the one that has stood idle longest, is closed for
+    /// it; where none has done so for long enough, the new one waits in the listener's queue.
     async fn place(&self) -> Option<OwnedSemaphorePermit> {
         let free = self.places.clone().acquire_owned();
         let mut free = pin!(free);
         loop {
-            let idle = self.taken.values().filter_map(|seat| Some((seat.idle_since()?, seat)));
-            let longest = idle.min_by_key(|(since, _)| *since);
-            let wait = match longest {
-                Some((since, _)) => since + SPARED_TIME,
-                None => Instant::now() + SPARED_TIME,
-            };
+            let spared = self.taken.values().filter_map(|seat| Some((seat.spared_at()?, seat)));
+            let first = spared.min_by_key(|(at, _)| *at);
+            let wait = first.map_or_else(|| Instant::now() + MUTE_TIME, |(at, _)| at);
             tokio::select! {
                 biased;
                 place = free.as_mut() => return place.ok(),
                 () = sleep_until(wait) => {}
             }
-            if let Some((_, seat)) = longest {
+            if let Some((_, seat)) = first {
                 seat.close.notify_one();
                 // Its task lets go of the place as soon as it runs; one that got a request meanwhile does not.
                 tokio::task::yield_now().await;
--- a/src/main.rs
+++ b/src/main.rs
@@ -140,7 +140,8 @@
     if let Some(at) = agent_listener {
         fronts.spawn(health::serve_agent(at, door.clone(), stop.clone(), log.clone()));
     }
-    info!(log, "serving"; "name" => config.name, "listen" => config.listen);
+    info!(log, "serving"; "name" => config.name, "listen" => config.listen, "most_held" => most_held,
+        "from_clients" => most, "to_nodes" => node_sockets);
 
     let work = async {
         tokio::select! {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -96,6 +96,20 @@
     assert!(read(&mut idle[1], "ready.").await.starts_with("HTTP/1.1 200"));
 }
 
+/// A crowd that connects and says nothing keeps nobody waiting for its whole time.
+#[tokio::test(start_paused = true)]
+async fn at_the_limit_mute_connections_make_room_soon() {
+    let (address, _stop) = listen(3).await;
+    let mut crowd = Vec::new();
+    for _ in 0..30 {
+        crowd.push(TcpStream::connect(&address).await.unwrap());
+    }
+    let asked = Instant::now();
+    let mut client = send(&address, GET).await;
+    assert!(read(&mut client, "ready.").await.starts_with("HTTP/1.1 200"));
+    assert!(asked.elapsed() < Duration::from_millis(3500), "{:?}", asked.elapsed());
+}
+
 /// With a length and an encoding a body may end in two places, and what lies between them is a request to one
 /// reader and none to the other.
 #[tokio::test]
