Where few places are left, answers end their connections

Seen on the incident with a count of the seats every 0.25 s: from 15 s on 430 to 451 of 460 seats stood idle after one answer each, all younger than 2 s, and 215 to 350 connections came in a burst each 2 s, when the oldest could be closed: usual clients waited in the listener's queue for the next one. Now, with fewer than a quarter of the places free, answers carry Connection: close, which the protocol leaves to either side; connections with room to spare are kept as before.

--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -4,7 +4,7 @@
 //! time, and at the limit one that stands idle makes room for a new one, so that nobody can lock the others out.
 
 use axum::body::Body;
-use axum::http::{header, StatusCode};
+use axum::http::{header, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::Router;
 use bytes::Bytes;
@@ -231,12 +231,27 @@
     }
 }
 
+/// The places of a listener.
+#[derive(Clone)]
+struct Places {
+    free: Arc<Semaphore>,
+    most: usize,
+}
+
+impl Places {
+    /// Few are left. Answers then end their connections, as the protocol allows at any time: crowds of clients
+    /// that ask once and stay would else take all places for as long as idle ones are kept.
+    fn are_few(&self) -> bool {
+        self.free.available_permits() * 4 < self.most
+    }
+}
+
 /// Serves one request. A body whose length is not stated is refused, whatever its route: with a length stated
 /// beside it, as hyper no longer shows, it may hide a second request.
-async fn answer(mut routes: Router, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
+async fn answer(mut routes: Router, places: Places, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
     seat.becomes(Phase::Open);
     let asked = Asked(seat);
-    let response = if request.headers().contains_key(header::TRANSFER_ENCODING) {
+    let mut response = if request.headers().contains_key(header::TRANSFER_ENCODING) {
         let closing = [(header::CONNECTION, "close")];
         (StatusCode::LENGTH_REQUIRED, closing, "a length is required\n").into_response()
     } else {
@@ -245,14 +260,19 @@
             Err(never) => match never {},
         }
     };
+    if places.are_few() && response.status() != StatusCode::SWITCHING_PROTOCOLS {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response.map(|body| Body::new(Answering { body, _asked: asked }))
 }
 
-async fn serve_one(stream: TcpStream, seat: Arc<Seat>, routes: Router, mut stop: watch::Receiver<bool>) {
+async fn serve_one(
+    stream: TcpStream, seat: Arc<Seat>, routes: Router, places: Places, mut stop: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let taken = seat.clone();
     let service = service_fn(move |request| {
-        let answer = answer(routes.clone(), taken.clone(), request);
+        let answer = answer(routes.clone(), places.clone(), taken.clone(), request);
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
@@ -273,7 +293,7 @@
 
 /// The connections of a listener.
 struct Seats {
-    places: Arc<Semaphore>,
+    places: Places,
     taken: HashMap<tokio::task::Id, Arc<Seat>>,
 }
 
@@ -281,7 +301,7 @@
     /// A place for a new connection. At the limit a mute one, or the one that has stood idle longest, is closed for
     /// it; where none has done so for long enough, the new one waits in the listener's queue.
     async fn place(&self) -> Option<OwnedSemaphorePermit> {
-        let free = self.places.clone().acquire_owned();
+        let free = self.places.free.clone().acquire_owned();
         let mut free = pin!(free);
         loop {
             let spared = self.taken.values().filter_map(|seat| Some((seat.spared_at()?, seat)));
@@ -306,7 +326,8 @@
 pub async fn serve(
     listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
 ) {
-    let mut seats = Seats { places: Arc::new(Semaphore::new(most)), taken: HashMap::new() };
+    let mut seats =
+        Seats { places: Places { free: Arc::new(Semaphore::new(most)), most }, taken: HashMap::new() };
     let mut connections = JoinSet::new();
     let mut pause = Duration::from_millis(5);
     let mut stopping = stop.clone();
@@ -337,8 +358,9 @@
         pause = Duration::from_millis(5);
         let seat = Seat::new();
         let (routes, stop, of_task) = (routes.clone(), stop.clone(), seat.clone());
+        let places = seats.places.clone();
         let task = connections.spawn(async move {
-            serve_one(stream, of_task, routes, stop).await;
+            serve_one(stream, of_task, routes, places, stop).await;
             drop(place);
         });
         seats.taken.insert(task.id(), seat);
