--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -235,14 +235,19 @@
 #[derive(Clone)]
 struct Places {
     free: Arc<Semaphore>,
-    most: usize,
+    waited: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Places {
-    /// Few are left. Answers then end their connections, as the protocol allows at any time: crowds of clients
-    /// that ask once and stay would else take all places for as long as idle ones are kept.
+    fn waited(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.waited.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A new connection found no place of late, nor one that might be closed for it. Answers then end their
+    /// connections, as the protocol allows at any time: crowds of clients that ask once and stay would else take
+    /// all places for as long as idle ones are kept.
     fn are_few(&self) -> bool {
-        self.free.available_permits() * 4 < self.most
+        self.waited().is_some_and(|at| at.elapsed() < SPARED_TIME)
     }
 }
 
@@ -307,6 +312,9 @@
             let spared = self.taken.values().filter_map(|seat| Some((seat.spared_at()?, seat)));
             let first = spared.min_by_key(|(at, _)| *at);
             let wait = first.map_or_else(|| Instant::now() + MUTE_TIME, |(at, _)| at);
+            if self.places.free.available_permits() == 0 && wait > Instant::now() {
+                *self.places.waited() = Some(Instant::now());
+            }
             tokio::select! {
                 biased;
                 place = free.as_mut() => return place.ok(),
@@ -326,8 +334,10 @@
 pub async fn serve(
     listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
 ) {
-    let mut seats =
-        Seats { places: Places { free: Arc::new(Semaphore::new(most)), most }, taken: HashMap::new() };
+    let mut seats = Seats {
+        places: Places { free: Arc::new(Semaphore::new(most)), waited: Arc::default() },
+        taken: HashMap::new(),
+    };
     let mut connections = JoinSet::new();
     let mut pause = Duration::from_millis(5);
     let mut stopping = stop.clone();
