--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,7 @@
 const ENOUGH: u32 = 4; // samples before a model is trusted, and what its prior counts for
 const REFIT: Time = 1_000_000; // failures fade, lots are drawn
 const WARM_MATCH: f64 = 0.80; // a warm reader has kept more than this part of the prompt
+const SOME_MATCH: f64 = 0.1; // where none is over that part, the best match counts from here on
 const EXPLORE: f64 = 0.02; // share that ignores the warm filter, and share that tries the failing tier
 const TRAILING: f64 = 0.25; // the filter opens when the best warm trails the best by this part of the aim
 const FIT: f64 = 0.6; // a server fits when its chance to meet the aims is above this
@@ -744,12 +745,16 @@
     /// while no warm one does: in a jam, reading texts anew elsewhere would feed the jam.
     fn warm_only(&mut self, mut choices: Vec<Choice>, request: &Request) -> Vec<Choice> {
         let sooner = |a: &&Choice, b: &&Choice| a.predicted.total_cmp(&b.predicted);
-        let warm = choices.iter().filter(|choice| choice.matched > WARM_MATCH).min_by(sooner);
+        // After a flush no reader keeps enough of a prompt. Were all taken for equal then, each text would be
+        // read anew at one reader after another, and the fleet would not get back to reading it once.
+        let most = choices.iter().map(|choice| choice.matched).fold(0.0, f64::max);
+        let least = WARM_MATCH * if (SOME_MATCH..WARM_MATCH).contains(&most) { most } else { 1.0 };
+        let warm = choices.iter().filter(|choice| choice.matched > least).min_by(sooner);
         let (late, best) = (TRAILING * request.aim, warm.zip(choices.iter().min_by(sooner)));
         let stays =
             best.is_some_and(|(warm, any)| warm.predicted <= any.predicted + late || any.chance < EASY);
         if self.rng.gen::<f64>() >= EXPLORE && stays {
-            choices.retain(|choice| choice.matched > WARM_MATCH);
+            choices.retain(|choice| choice.matched > least);
         }
         choices
     }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -49,6 +49,28 @@
     assert!(away.count() > 15, "a restart voids what the table says");
 }
 
+#[test]
+fn texts_that_are_half_forgotten_keep_to_their_home() {
+    // Guards against the jam after a flush: with no match over the threshold all readers counted as equal.
+    let mut desk = desk();
+    for id in 0..80 {
+        desk.serve_by(ask(id, id), |_| 40 * MS, 1_000.0, 30 * MS, 50 * MS);
+    }
+    let mut home = |session: u64, times: u64| {
+        let sent = (0..times).map(|time| {
+            let id = session * 100 + time;
+            let reader = sent_to(&desk.ask(ask(id, session)), id);
+            desk.hear(Event::Gone { id });
+            desk.outcome(id, 0, reader.unwrap_or_default(), Status::Cancelled);
+            reader
+        });
+        sent.collect::<Vec<_>>()
+    };
+    let same = (1_000..1_030).filter(|session| home(*session, 3).windows(2).all(|pair| pair[0] == pair[1]));
+    let same = same.count();
+    assert!(same >= 25, "{same} of 30 sessions kept to one reader");
+}
+
 #[test]
 fn a_slow_reader_is_learned_and_avoided() {
     let alone = Settings { second_copies: false, ..settings(vec![class(3.0, Effect::Safe)]) };
