--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -436,6 +436,8 @@
             return;
         }
         self.names.insert(work.name.clone());
+        debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
+            "expires_in" => ask.expires_in);
         let held = Held {
             work,
             answer: Some(answer),
@@ -480,6 +482,7 @@
         // With the first event all else that nodes hold for the request goes by itself.
         (held.begun, held.known, held.stray) = (Some(attempt), false, false);
         held.work.body = Bytes::new(); // nothing is sent for it any more
+        debug!(self.log, "first event"; "id" => id, "attempt" => attempt);
         self.step(now, api::Event::First { id, attempt });
     }
 
