Tell kept connections that break from sick nodes; unsafe writes on connections of their own

Checked with a probe that logged what each broken connection had carried: 37 resets on a first request, 155 on a later one. Ruled out: crashed nodes (the list names none, and connections to all of them come up).

Cause: logic.rs blames a server for every reset; a server set aside gets few requests, its kept connections rest the longer and break again, and it stays out. http.rs kept connections however often they broke, and sent unsafe writes on them too, which were failed then, because they may have run.

Now a kept connection that breaks before anything came back is Status::Stale, which blames nobody; the kept connections are dropped and none is kept for 5 s, doubling up to 60 s; a write that must not run twice has a connection of its own (a handshake of about a millisecond, nine a second over the fleet); and a request whose last byte no connection took is Moot, never ran, where it was a reset. The session wire does the same.

Tests: three in nodes.rs, one in core.rs, one in ordinary.rs; statuses added in rules.rs, core.rs.

--- a/src/api.rs
+++ b/src/api.rs
@@ -219,6 +219,9 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// A kept connection broke before anything came back: as like as not it was closed while it stood idle, which
+    /// tells nothing of the server; it may have run.
+    Stale,
     /// Cancelled; it may have run.
     Cancelled,
     /// Never sent.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! reaches it through the bounded queue behind a [`Door`]. Here the rules are kept whatever the module says:
 //! one final answer for each request, deadlines, attempt numbers, and the release of what is held.
 
-use crate::api::{self, Action, Ask, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
+use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::Router;
 use bytes::Bytes;
 use slog::{debug, info, warn, Logger};
@@ -152,6 +152,9 @@
         work: Work,
         /// How long the first event is waited for.
         timeout: Duration,
+        /// It must not run twice, and so must not go on a kept connection, which its node may have closed: what
+        /// breaks there may have run.
+        alone: bool,
     },
     /// Stop waiting for an attempt whose first event the core has not been told of.
     Cancel {
@@ -284,6 +287,7 @@
 /// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
 struct Held {
     work: Work,
+    once: bool, // it must not run twice
     answer: Option<oneshot::Sender<Answer>>,
     deadline: Time,
     attempts: Vec<Attempt>,
@@ -313,6 +317,7 @@
 /// The state machine. Its caller gives it the time with each event and does what it commands.
 pub struct Core {
     router: Router,
+    unsafe_classes: Vec<bool>,
     release_within: Time,
     retry_after: Time,
     most_held: usize,
@@ -332,8 +337,10 @@
     /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
     pub fn new(settings: api::Settings, most_held: usize, seed: u64, now: Time, log: Logger) -> Self {
         let (release_within, retry_after) = (settings.release_within, settings.max_retry_after);
+        let unsafe_classes = settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
         let mut core = Core {
             router: Router::new(settings, seed, now),
+            unsafe_classes,
             release_within,
             retry_after,
             most_held,
@@ -438,8 +445,10 @@
         self.names.insert(work.name.clone());
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
             "expires_in" => ask.expires_in);
+        let once = self.unsafe_classes.get(ask.class).is_none_or(|it| *it);
         let held = Held {
             work,
+            once,
             answer: Some(answer),
             deadline: now.saturating_add(ask.expires_in),
             attempts: Vec::new(),
@@ -506,7 +515,9 @@
         match status {
             Status::Read => held.known = true,
             // The read may have ended well at the moment its connection broke or was closed.
-            Status::Cancelled | Status::Reset | Status::Timeout | Status::Error if reads => held.stray = true,
+            Status::Cancelled | Status::Reset | Status::Stale | Status::Timeout | Status::Error if reads => {
+                held.stray = true
+            }
             Status::Full if note > 0.0 => held.known = false,
             _ => {}
         }
@@ -642,6 +653,7 @@
             address: node.address.clone(),
             work: held.work.clone(),
             timeout: Duration::from_micros(timeout),
+            alone: held.once && node.role != Role::Reader, // reading has no effect
         });
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -500,7 +500,7 @@
             Status::Full if note > 0.0 => request.state_at = None,
             // It may have taken the state. Asking another writer costs an attempt: where that would leave too
             // few to read anew and write, the state is given up for gone.
-            Status::Error | Status::Reset if attempt.stage == Stage::Write => {
+            Status::Error | Status::Reset | Status::Stale if attempt.stage == Stage::Write => {
                 let left = self.settings.max_attempts.saturating_sub(request.attempts.len() as u32);
                 request.state_at = request.state_at.filter(|_| left >= 3);
             }
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -28,6 +28,8 @@
     pub work: Work,
     /// How long the first event is waited for.
     pub timeout: Duration,
+    /// It goes on a connection of its own.
+    pub alone: bool,
 }
 
 /// How an attempt ended.
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -19,9 +20,42 @@
 /// All places for connections are taken.
 pub const CROWDED: io::ErrorKind = io::ErrorKind::ResourceBusy;
 
+/// What a connection has carried, which tells how it broke.
+#[derive(Default)]
+pub struct Carried {
+    requests: AtomicU32,
+    waits: AtomicBool,
+    unwritten: AtomicBool,
+}
+
+impl Carried {
+    fn read(&self) {
+        self.waits.store(false, Ordering::Relaxed);
+    }
+
+    fn wrote(&self, wrote: &Poll<io::Result<usize>>, all: usize) {
+        if !self.waits.swap(true, Ordering::Relaxed) {
+            self.requests.fetch_add(1, Ordering::Relaxed);
+        }
+        let whole = matches!(wrote, Poll::Ready(Ok(taken)) if *taken == all);
+        self.unwritten.store(!whole, Ordering::Relaxed);
+    }
+
+    /// Its request was not the first, and nothing has come back: the node may have closed it while it stood idle.
+    pub fn was_kept(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) > 1 && self.waits.load(Ordering::Relaxed)
+    }
+
+    /// Some of what it was given last was not taken.
+    pub fn is_unwritten(&self) -> bool {
+        self.unwritten.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection and its place among the descriptors that may be open.
 pub struct Wire {
     stream: TcpStream,
+    carried: Arc<Carried>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -29,7 +63,12 @@
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.carried.read();
+        }
+        read
     }
 }
 
@@ -37,7 +76,9 @@
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let wrote = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.carried.wrote(&wrote, bytes.len());
+        wrote
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -55,7 +96,9 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.carried.wrote(&wrote, slices.iter().map(|slice| slice.len()).sum());
+        wrote
     }
 }
 
@@ -122,7 +165,7 @@
         let dialled = timeout(self.limit, async {
             let stream = TcpStream::connect(target).await?;
             stream.set_nodelay(true)?;
-            Ok(Wire { stream, _place: place })
+            Ok(Wire { stream, carried: Arc::default(), _place: place })
         });
         dialled.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
@@ -133,7 +176,7 @@
 
 impl Connection for HttpWire {
     fn connected(&self) -> Connected {
-        Connected::new()
+        Connected::new().extra(self.0.inner().carried.clone())
     }
 }
 
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -1,25 +1,27 @@
 //! HTTP/1.1 to nodes, on hyper-util's client.
 //!
 //! "It never ran" is said only where that is certain: the connection never came up, the node said so, or the
-//! body was never handed to a connection.
+//! last byte was never written to a connection.
 
 use super::attempt::{parse_load, End, Passing, Trial};
-use super::connections::{Dialer, CROWDED};
+use super::connections::{Carried, Dialer, CROWDED};
 use crate::api::{Load, Status};
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::http::Extensions;
 use hyper::{header, HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use miniserde::{json, Deserialize};
-use slog::{debug, Logger};
+use slog::{debug, info, Logger};
 use std::error::Error;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
@@ -28,6 +30,10 @@
 const BUFFER: usize = 32 * 1024;
 /// A short answer of a node (a read's result, a load report) is not read beyond this.
 const SHORT_ANSWER: usize = 16 * 1024;
+/// After a kept connection has broken under a request none is kept for so long ...
+const DISTRUST: Duration = Duration::from_secs(5);
+/// ... and twice as long each time that it happens soon again, up to this.
+const DISTRUST_MOST: Duration = Duration::from_secs(60);
 /// The end of a stream that is kept for the usage and the load report that it carries.
 const TAIL: usize = 4096;
 
@@ -132,37 +138,106 @@
     }
 }
 
-/// The client, with its pool of connections. Cheap to clone.
+/// Kept connections, and whether they are to be used at all.
+struct Pool {
+    client: Client<Dialer, Once>,
+    distrusted_until: Instant,
+    distrust: Duration,
+}
+
+/// The clients, with the pool of connections. Cheap to clone.
 #[derive(Clone)]
 pub struct Http {
-    client: Client<Dialer, Once>,
+    pool: Arc<Mutex<Pool>>,
+    single: Client<Dialer, Once>,
     dialer: Dialer,
+    idle_time: Duration,
+    most_idle: usize,
     log: Logger,
 }
 
+/// An exchange that has failed.
+struct Failure {
+    error: hyper_util::client::legacy::Error,
+    /// Its connection had been kept, and nothing came back.
+    stale: bool,
+    /// Some of the request was not written: no node has its last byte.
+    unwritten: bool,
+}
+
+fn client(dialer: &Dialer, idle_time: Duration, most_idle: usize) -> Client<Dialer, Once> {
+    Client::builder(TokioExecutor::new())
+        // A resend is an attempt of its own, which only the core may order.
+        .retry_canceled_requests(false)
+        .set_host(true)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(idle_time)
+        .pool_max_idle_per_host(most_idle)
+        // A node's head must fit; one that does not end is found out the sooner, and costs no more.
+        .http1_max_buf_size(BUFFER)
+        .build(dialer.clone())
+}
+
 impl Http {
     /// A client without connections. One that was idle for `idle_time` is not used again, and no more than
     /// `most_idle` are kept for a node: what some nodes don't need is for the others.
     pub fn new(dialer: Dialer, idle_time: Duration, most_idle: usize, log: Logger) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            // A resend is an attempt of its own, which only the core may order.
-            .retry_canceled_requests(false)
-            .set_host(true)
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(idle_time)
-            .pool_max_idle_per_host(most_idle)
-            // A node's head must fit; one that does not end is found out the sooner, and costs no more.
-            .http1_max_buf_size(BUFFER)
-            .build(dialer.clone());
-        Http { client, dialer, log }
+        let pool = Pool {
+            client: client(&dialer, idle_time, most_idle),
+            distrusted_until: Instant::now(),
+            distrust: Duration::ZERO,
+        };
+        let single = client(&dialer, idle_time, 0);
+        Http { pool: Arc::new(Mutex::new(pool)), single, dialer, idle_time, most_idle, log }
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A kept connection has broken under a request. Where one does, others will: something on the way, or nodes
+    /// themselves, close them early. All are let go, and none is kept for a time, which grows while it goes on.
+    fn distrust(&self) {
+        let now = Instant::now();
+        let mut pool = self.pool();
+        if now < pool.distrusted_until {
+            return; // it was out when the first one broke
+        }
+        let again = now < pool.distrusted_until + pool.distrust;
+        pool.distrust = if again { (pool.distrust * 2).min(DISTRUST_MOST) } else { DISTRUST };
+        pool.distrusted_until = now + pool.distrust;
+        pool.client = client(&self.dialer, self.idle_time, self.most_idle);
+        info!(self.log, "kept connections break"; "none_for_ms" => pool.distrust.as_millis() as u64);
+    }
+
+    /// One request and the head of its answer; `alone`: on a connection of its own.
+    async fn exchange(&self, mut request: Request<Once>, alone: bool) -> Result<Response<Incoming>, Failure> {
+        let client = {
+            let pool = self.pool();
+            let single = alone || Instant::now() < pool.distrusted_until;
+            if single { &self.single } else { &pool.client }.clone()
+        };
+        let taken = capture_connection(&mut request);
+        client.request(request).await.map_err(|error| {
+            let mut extras = Extensions::new();
+            if let Some(connected) = &*taken.connection_metadata() {
+                connected.get_extras(&mut extras);
+            }
+            let carried = extras.get::<Arc<Carried>>();
+            let stale = carried.is_some_and(|it| it.was_kept());
+            if stale {
+                self.distrust();
+            }
+            Failure { error, stale, unwritten: carried.is_some_and(|it| it.is_unwritten()) }
+        })
     }
 
     async fn call(&self, method: Method, address: &str, target: &str) -> Option<Response<Incoming>> {
         let body = Once { body: None, taken: Arc::default() };
         let request = Request::builder().method(method).uri(format!("http://{address}{target}")).body(body);
-        let answer = self.client.request(request.ok()?).await;
+        let answer = self.exchange(request.ok()?, false).await;
         answer
-            .map_err(|error| debug!(self.log, "a call failed"; "address" => address, "error" => ?error))
+            .map_err(|it| debug!(self.log, "a call failed"; "address" => address, "error" => ?it.error))
             .ok()
     }
 
@@ -188,15 +263,24 @@
             () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
                 return Status::ConnectFailed.into();
             }
-            exchange = timeout_at(until, self.client.request(request)) => exchange,
+            exchange = timeout_at(until, self.exchange(request, trial.alone)) => exchange,
         };
         let response = match exchange {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
+            Ok(Err(Failure { error, stale, unwritten })) => {
                 debug!(self.log, "attempt failed"; "id" => trial.id, "attempt" => trial.attempt,
-                    "address" => %trial.address, "error" => ?error);
-                let never = error.is_connect() || !taken.load(Ordering::Relaxed);
-                return if never { never_ran(&error) } else { broken(&error) }.into();
+                    "address" => %trial.address, "error" => ?error, "stale" => stale, "unwritten" => unwritten);
+                return if error.is_connect() || !taken.load(Ordering::Relaxed) {
+                    never_ran(&error)
+                } else if unwritten {
+                    Status::Moot // never ran; but the node is there, for it took the connection
+                } else {
+                    match broken(&error) {
+                        Status::Reset if stale => Status::Stale,
+                        status => status,
+                    }
+                }
+                .into();
             }
             Err(_) => return Status::Timeout.into(),
         };
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -105,10 +105,10 @@
         tokio::select! {
             command = commands.recv() => match command {
                 None => break,
-                Some(Command::Send { id, attempt, address, work, timeout }) => {
+                Some(Command::Send { id, attempt, address, work, timeout, alone }) => {
                     let (cancel, cancelled) = oneshot::channel::<()>();
                     let shared = shared.clone();
-                    let trial = Trial { id, attempt, address, work, timeout };
+                    let trial = Trial { id, attempt, address, work, timeout, alone };
                     let passing = Passing::new(shared.door.clone(), &trial);
                     let begun = passing.mark();
                     let cancelled = async move {
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -150,7 +150,11 @@
         if self.dialer.is_barred(&trial.address) {
             return Status::Moot.into();
         }
-        let mut session = match self.take(&trial.address) {
+        // What breaks on a session that was kept may have run, so that what must not run twice gets a new one.
+        let kept = if trial.alone { None } else { self.take(&trial.address) };
+        // How it has broken, until something came back.
+        let mut broken = if kept.is_some() { Status::Stale } else { Status::Reset };
+        let mut session = match kept {
             Some(session) => session,
             None => match timeout_at(until, self.open(&trial.address)).await {
                 Ok(Ok(session)) => session,
@@ -172,21 +176,23 @@
         // A message whose last byte was not written is no request.
         match timeout_at(until, session.send(Message::Text(request.into()))).await {
             Ok(Ok(())) => {}
+            Ok(Err(_)) if broken == Status::Stale => return Status::Moot.into(),
             Ok(Err(_)) => return Status::ConnectFailed.into(),
             Err(_) => return Status::Timeout.into(),
         }
         loop {
             let message = match passing.next(until, session.next()).await {
                 Ok(Some(Ok(message))) => message,
-                Ok(Some(Err(_)) | None) => return Status::Reset.into(),
+                Ok(Some(Err(_)) | None) => return broken.into(),
                 Err(status) => return status.into(),
             };
             let text = match message {
                 Message::Text(text) => text,
                 Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => continue,
-                Message::Close(_) => return Status::Reset.into(),
+                Message::Close(_) => return broken.into(),
                 Message::Binary(_) => return Status::Error.into(),
             };
+            broken = Status::Reset;
             match parse(&text, &trial.work.name) {
                 Sense::Data(data) => {
                     if let Err(status) = passing.data(&data).await {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -188,6 +188,7 @@
         (false, Status::ConnectFailed, false),
         (false, Status::Cancelled, true),
         (false, Status::Reset, true),
+        (false, Status::Stale, true),
     ] {
         let mut bench = Bench::new(10);
         let _answered = bench.ask(1, 1, "a");
@@ -203,6 +204,20 @@
     }
 }
 
+#[test]
+fn only_a_write_that_must_not_run_twice_goes_alone() {
+    for (class, alone) in [(0, [false, false]), (1, [false, true])] {
+        let mut bench = Bench::new(10);
+        let _answered = bench.ask(1, class, "a");
+        bench.ended(1, 0, Status::Read);
+        let sent = bench.commands.iter().filter_map(|command| match command {
+            Command::Send { alone, .. } => Some(*alone),
+            _ => None,
+        });
+        assert_eq!(sent.collect::<Vec<_>>(), alone);
+    }
+}
+
 #[test]
 fn an_answer_that_comes_after_the_end_is_nobodys() {
     let mut bench = Bench::new(10);
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -6,7 +6,8 @@
 use quartzhall::dispatch::{Command, Event, Inbox, Piece, Work};
 use stand::{node_side, Fleet, Way, ANSWER};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::timeout;
 
@@ -16,7 +17,29 @@
 
 fn send(id: RequestId, address: &str) -> Command {
     let (work, timeout) = (work(&format!("n{id}")), Duration::from_secs(5));
-    Command::Send { id, attempt: 0, address: address.into(), work, timeout }
+    Command::Send { id, attempt: 0, address: address.into(), work, timeout, alone: false }
+}
+
+fn send_alone(id: RequestId, address: &str) -> Command {
+    let Command::Send { work, timeout, .. } = send(id, address) else { unreachable!() };
+    Command::Send { id, attempt: 0, address: address.into(), work, timeout, alone: true }
+}
+
+/// Reads a whole request from a raw connection.
+async fn hear(stream: &mut TcpStream) {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n{}") {
+        let mut some = [0; 1024];
+        let read = stream.read(&mut some).await.unwrap();
+        assert!(read > 0, "the connection ended");
+        text.extend_from_slice(&some[..read]);
+    }
+}
+
+/// Reads a request and answers it as a reader does, on a connection that stays open.
+async fn read_for(stream: &mut TcpStream) {
+    hear(stream).await;
+    stream.write_all(b"HTTP/1.1 202 OK\r\nContent-Length: 2\r\n\r\n{}").await.unwrap();
 }
 
 async fn next(inbox: &mut Inbox) -> Event {
@@ -113,18 +136,12 @@
 /// A connection that breaks after the request was written may have run: a reset, and it is sent only once.
 #[tokio::test]
 async fn a_connection_that_breaks_after_the_request_is_a_reset_and_is_not_sent_again() {
-    use tokio::io::AsyncReadExt;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let (commands, mut inbox) = node_side(&[]);
     commands.send(send(1, &address)).await.unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
-    let mut text = Vec::new();
-    while !text.ends_with(b"\r\n\r\n{}") {
-        let mut some = [0; 1024];
-        let read = stream.read(&mut some).await.unwrap();
-        text.extend_from_slice(&some[..read]);
-    }
+    hear(&mut stream).await;
     drop(stream);
     assert_eq!(ended(&mut inbox).await, Status::Reset);
     let again =
@@ -132,6 +149,72 @@
     assert!(!again.await, "no library resends it");
 }
 
+/// A kept connection that breaks under a request tells nothing of its node; others would break the same way, so
+/// that none is kept for a time.
+#[tokio::test]
+async fn a_kept_connection_that_breaks_is_stale_and_none_is_kept_then() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (commands, mut inbox) = node_side(&[]);
+    commands.send(send(1, &address)).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read_for(&mut stream).await;
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    commands.send(send(2, &address)).await.unwrap();
+    hear(&mut stream).await;
+    drop(stream);
+    assert_eq!(ended(&mut inbox).await, Status::Stale);
+    for id in 3..6 {
+        commands.send(send(id, &address)).await.unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_for(&mut stream).await;
+        assert_eq!(ended(&mut inbox).await, Status::Read);
+    }
+}
+
+/// What must not run twice never goes on a kept connection: were that closed meanwhile, it might have run.
+#[tokio::test]
+async fn what_must_not_run_twice_goes_on_a_connection_of_its_own() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (commands, mut inbox) = node_side(&[]);
+    commands.send(send(1, &address)).await.unwrap();
+    let (mut kept, _) = listener.accept().await.unwrap();
+    read_for(&mut kept).await;
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    commands.send(send_alone(2, &address)).await.unwrap();
+    let (mut alone, _) = listener.accept().await.unwrap();
+    read_for(&mut alone).await;
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    assert_eq!(alone.read(&mut [0; 8]).await.unwrap(), 0, "it is not kept either");
+    commands.send(send(3, &address)).await.unwrap();
+    read_for(&mut kept).await;
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+}
+
+/// A request whose last byte was never taken by a connection has certainly not run.
+#[tokio::test]
+async fn a_connection_that_breaks_under_half_a_request_never_ran_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (commands, mut inbox) = node_side(&[]);
+    let Command::Send { work, timeout, .. } = send(1, &address) else { unreachable!() };
+    let body = vec![b' '; 64 << 20].into(); // more than sockets take
+    let long = Command::Send {
+        id: 1,
+        attempt: 0,
+        address: address.as_str().into(),
+        work: Work { body, ..work },
+        timeout,
+        alone: true,
+    };
+    commands.send(long).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+    drop(stream);
+    assert_eq!(ended(&mut inbox).await, Status::Moot);
+}
+
 /// A send that finds all places taken was never tried, and tells nothing of its node.
 #[tokio::test(start_paused = true)]
 async fn a_send_that_finds_no_place_is_moot() {
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -226,3 +226,19 @@
         (2_000..2_040).filter_map(|id| sent_to(&desk.ask(ask(id, id)), id)).collect();
     assert_eq!(used.len(), 4, "{used:?}");
 }
+
+/// A kept connection that its node has closed tells nothing of the node. Set aside for it, a node's connections would
+/// stand idle for longer still, and it would be set aside for good.
+#[test]
+fn a_stale_connection_sets_nobody_aside() {
+    let mut desk = taught();
+    for id in 1_000..1_010 {
+        let reader = sent_to(&desk.ask(ask(id, 1_000)), id).expect("sent");
+        let again = sent_to(&desk.outcome(id, 0, reader, Status::Stale), id).expect("sent again");
+        desk.hear(Event::Gone { id });
+        desk.outcome(id, 1, again, Status::Cancelled);
+    }
+    let used: std::collections::BTreeSet<_> =
+        (2_000..2_040).filter_map(|id| sent_to(&desk.ask(ask(id, id)), id)).collect();
+    assert_eq!(used.len(), 4, "{used:?}");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -63,7 +63,7 @@
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_failed_and_never_sent_again() {
-    for status in [Status::Error, Status::Reset, Status::Timeout, Status::Cancelled] {
+    for status in [Status::Error, Status::Reset, Status::Stale, Status::Timeout, Status::Cancelled] {
         let mut desk = desk(Effect::Unsafe, mixed());
         let sent = sent_to(&desk.ask(ask(1, 1)), 1).expect("sent");
         let mut actions = desk.outcome(1, 0, sent, status);
@@ -237,7 +237,7 @@
 /// Nothing more can be done for it, and its client can act on that now, not when its time is nearly up.
 #[test]
 fn what_may_have_run_and_must_not_again_is_failed_at_once() {
-    for status in [Status::Error, Status::Reset, Status::Timeout, Status::Cancelled] {
+    for status in [Status::Error, Status::Reset, Status::Stale, Status::Timeout, Status::Cancelled] {
         let mut desk = desk(Effect::Unsafe, [pair(), vec![server(3, Role::Writer)]].concat());
         desk.ask(ask(1, 1));
         let writer = sent_to(&desk.outcome(1, 0, 1, Status::Read), 1).expect("a writer");
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -36,7 +36,7 @@
         let name = format!("s{id}").as_str().into();
         let work = Work { name, target: "/v1/chat/completions".into(), body: "{}".into() };
         let (address, timeout) = (self.0.local_addr().unwrap().to_string(), Duration::from_secs(60));
-        Command::Send { id, attempt: 0, address: address.as_str().into(), work, timeout }
+        Command::Send { id, attempt: 0, address: address.as_str().into(), work, timeout, alone: false }
     }
 }
 
