--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -242,3 +242,29 @@
         (2_000..2_040).filter_map(|id| sent_to(&desk.ask(ask(id, id)), id)).collect();
     assert_eq!(used.len(), 4, "{used:?}");
 }
+
+/// Where one attempt in seven is lost by chance, three in a row at one server are chance too; ten are not.
+#[test]
+fn a_few_failures_by_chance_set_nobody_aside() {
+    for (failures, most) in [(3, true), (10, false)] {
+        let mut desk = taught();
+        let alone = Ask { prompt: 2_000.0, ..ask(0, 1_000) };
+        let home = sent_to(&desk.ask(alone.clone()), 0).expect("sent");
+        desk.outcome(0, 0, home, Status::Cancelled);
+        desk.hear(Event::Gone { id: 0 });
+        let mut failed = 0;
+        for id in 1_000..2_000 {
+            let reader =
+                sent_to(&desk.ask(Ask { id, session: Some(id), ..alone.clone() }), id).expect("sent");
+            let lost = reader == home && failed < failures;
+            failed += usize::from(lost);
+            desk.hear(Event::Gone { id });
+            desk.outcome(id, 0, reader, if lost { Status::Reset } else { Status::Cancelled });
+            if failed == failures {
+                break;
+            }
+        }
+        let asked = (3_000..3_060).map(|id| sent_to(&desk.ask(ask(id, id)), id));
+        assert_eq!(asked.filter(|reader| *reader == Some(home)).count() > 0, most, "{failures}");
+    }
+}
