--- a/src/logic.rs
+++ b/src/logic.rs
@@ -828,7 +828,11 @@
         let since = self.now.saturating_sub(self.settings.fall);
         let sent = server.sent.iter().filter(|at| **at >= since).count() as f64;
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
-        let count = self.servers.values().filter(|server| server.entry.role != spared).count().max(1) as f64;
+        // Those that drain or are cold bear no load that would tell; where no other does, the cold ones do.
+        let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
+        let bearing = self.servers.values().filter(ready);
+        let warm = bearing.clone().filter(|it| it.warm_share(&self.settings, self.now) >= 1.0).count();
+        let count = if warm > 0 { warm } else { bearing.count().max(1) } as f64;
         let pace = self.finished[side(stage)] * NEWEST / count / seconds(REFIT);
         let able = self.settings.fall_multiple * self.settings.cold_from * pace * seconds(self.settings.fall);
         sent + 1.0 - server.lot <= (COLD_PART * able).max(1.0 / self.share)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -153,6 +153,24 @@
     assert!((1..=12).contains(&sends), "{sends} sent to a cold server at once");
 }
 
+/// What a cold server may get is told by those that bear the load: with leaving ones counted too, its successors
+/// stood idle through a deploy while the rest jammed.
+#[test]
+fn leaving_servers_do_not_cut_what_a_cold_one_may_get() {
+    let readers = (1..=6).map(|id| server(id, Role::Reader));
+    let mut desk = desk(Effect::Safe, readers.chain([server(12, Role::Writer)]).collect());
+    let leaving = (2..=6).map(|id| Entry { state: State::Draining, ..server(id, Role::Reader) }).collect();
+    desk.hear(Event::Members { complete: false, entries: leaving });
+    for id in 0..60 {
+        desk.serve(ask(id, id), 20 * MS, 20 * MS, 20 * MS);
+    }
+    let cold = Entry { started: Some(desk.now), ..server(7, Role::Reader) };
+    desk.hear(Event::Members { complete: false, entries: vec![cold] });
+    let sent = (100..200).filter(|id| sent_to(&desk.ask(ask(*id, *id)), *id) == Some(7)).count();
+    // Reader 1 has had about 16 reads a second; 0.3 x 2.5 of that in a second is 12, and a sixth of it 2.
+    assert!((6..=12).contains(&sent), "{sent} sent to the cold server");
+}
+
 #[test]
 fn a_state_that_no_writer_takes_is_let_go_in_time() {
     let mut desk = desk(Effect::Safe, vec![server(1, Role::Reader)]);
