Take operators' calls: ready, disable-server, enable-server; bans as state of the core

fronts/management takes one line a connection and renders what the core says; bans holds the marks by id, bounded: 4,096 ids that have left the list (the latest), 4,096 bans, ends of bans for 60 s; a ban is never dropped to make room. The core gives the module a draining entry while a ban holds and one that started at the call back after it, and bars the address at nodes.

Untouched, the program had no calls.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,6 +5,7 @@
 //! one final answer for each request, deadlines, attempt numbers, and the release of what is held.
 
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
+use crate::bans::{Bans, Marks, Refusal};
 use crate::Router;
 use bytes::Bytes;
 use slog::{debug, info, warn, Logger};
@@ -18,6 +19,8 @@
 
 /// Events that may wait for the core; senders wait when it is full.
 const QUEUE: usize = 4096;
+/// Operators' calls that may wait for it: they never wait behind requests.
+const URGENT: usize = 16;
 /// The core looks over its table this often while there are requests in it.
 const SWEEP: Time = 20_000;
 /// A state that nobody asks for is let go after this part (in tenths) of the time in which it must be ...
@@ -133,6 +136,17 @@
     },
     /// A call for the list failed.
     ListFailed,
+    /// An operator takes a replica out of use, or back.
+    Ban {
+        /// Its name.
+        name: Arc<str>,
+        /// Out, or back.
+        banned: bool,
+        /// Whether that holds now.
+        answer: oneshot::Sender<Result<(), Refusal>>,
+    },
+    /// What another process of this dispatcher knows of replicas that are out of use.
+    Marks(Marks),
     /// The dispatcher is to end: it takes no more from balancers, and serves what still comes.
     Drain,
 }
@@ -203,6 +217,8 @@
 #[derive(Clone)]
 pub struct Door {
     events: mpsc::Sender<Event>,
+    urgent: mpsc::Sender<Event>,
+    marks: watch::Receiver<Marks>,
     next: Arc<AtomicU64>,
     readiness: watch::Receiver<Readiness>,
     open: watch::Receiver<usize>,
@@ -256,6 +272,23 @@
         }
     }
 
+    /// Takes a replica out of use, or back, ahead of all that waits. `None`: the core has ended.
+    pub async fn ban(&self, name: Arc<str>, banned: bool) -> Option<Result<(), Refusal>> {
+        let (answer, answered) = oneshot::channel();
+        self.urgent.send(Event::Ban { name, banned, answer }).await.ok()?;
+        answered.await.ok()
+    }
+
+    /// Tells what another process knows of replicas that are out of use, ahead of all that waits.
+    pub async fn merge(&self, marks: Marks) {
+        let _ = self.urgent.send(Event::Marks(marks)).await;
+    }
+
+    /// What operators have said of replicas.
+    pub fn marks(&self) -> watch::Receiver<Marks> {
+        self.marks.clone()
+    }
+
     /// The state that balancers in front are told.
     pub fn readiness(&self) -> Readiness {
         *self.readiness.borrow()
@@ -311,7 +344,16 @@
     name: Arc<str>,
     address: Arc<str>,
     role: Role,
-    state: State,
+    state: State,          // what holds: operators' word comes before the list's
+    listed: Entry,         // what the list says
+    back_at: Option<Time>, // when operators let it be used again
+}
+
+impl Node {
+    /// What the module is told: one that is out of use drains, and one that is back has started then.
+    fn entry(&self) -> Entry {
+        Entry { state: self.state, started: self.listed.started.max(self.back_at), ..self.listed.clone() }
+    }
 }
 
 /// The state machine. Its caller gives it the time with each event and does what it commands.
@@ -324,6 +366,8 @@
     numbers: HashMap<Arc<str>, ServerId>,
     next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
+    bans: Bans,
+    bans_changed: bool,
     requests: BTreeMap<RequestId, Held>,
     names: HashSet<Arc<str>>,
     timers: BinaryHeap<Reverse<Time>>,
@@ -347,6 +391,8 @@
             numbers: HashMap::new(),
             next_number: 0,
             nodes: BTreeMap::new(),
+            bans: Bans::default(),
+            bans_changed: false,
             requests: BTreeMap::new(),
             names: HashSet::new(),
             timers: BinaryHeap::new(),
@@ -378,6 +424,20 @@
             Event::Probed { server, ok, load } => self.step(now, api::Event::Probed { server, ok, load }),
             Event::Members { complete, members } => self.members(now, complete, members),
             Event::ListFailed => self.step(now, api::Event::ListFailed),
+            Event::Ban { name, banned, answer } => {
+                let listed = self.numbers.contains_key(&name);
+                let called = self.bans.call(now, &name, banned, listed);
+                if called == Ok(true) {
+                    self.bans_changed = true;
+                    self.banned(now, &[name]);
+                }
+                let _ = answer.send(called.map(|_| ()));
+            }
+            Event::Marks(marks) => {
+                let changed = self.bans.merge(now, &marks);
+                self.bans_changed |= !changed.is_empty();
+                self.banned(now, &changed);
+            }
             Event::Drain => self.draining = true,
         }
     }
@@ -542,21 +602,26 @@
             });
             named.insert(server);
             entry.server = server;
-            let node = Node { name, address: address.clone(), role: entry.role, state: entry.state };
-            let barred = entry.state != State::Ready;
-            let before = self.nodes.insert(server, node);
+            let before = self.nodes.remove(&server);
+            let back_at = before.as_ref().and_then(|it| it.back_at).max(self.bans.ended(&name));
+            let state = self.state_of(&name, entry.state);
+            let role = entry.role;
+            let node = Node { name, address: address.clone(), role, state, listed: entry, back_at };
             if before.as_ref().is_some_and(|it| it.address != address) {
                 debug!(self.log, "a node has moved"; "server" => server, "address" => %address);
             }
-            if before.is_none_or(|it| it.state != entry.state || it.address != address) {
-                debug!(self.log, "a node's state"; "server" => server, "address" => %address,
-                    "role" => ?entry.role, "state" => ?entry.state, "started" => ?entry.started);
-                self.commands.push(Command::Bar { address, barred });
+            if before.is_none_or(|it| it.state != state || it.address != address) {
+                debug!(self.log, "a node's state"; "server" => server, "name" => %node.name,
+                    "address" => %address, "role" => ?role, "state" => ?state, "started" => ?node.listed.started);
+                self.commands.push(Command::Bar { address, barred: state != State::Ready });
             }
+            let entry = node.entry();
+            self.nodes.insert(server, node);
             entries.push(entry);
         }
         if complete {
             for (_, node) in self.nodes.iter_mut().filter(|(server, _)| !named.contains(server)) {
+                node.listed.state = State::Gone;
                 if node.state != State::Gone {
                     node.state = State::Gone;
                     self.commands.push(Command::Bar { address: node.address.clone(), barred: true });
@@ -571,6 +636,38 @@
         self.step(now, api::Event::Members { complete, entries });
     }
 
+    /// The state that holds, by what the list says.
+    fn state_of(&self, name: &str, listed: State) -> State {
+        match listed {
+            State::Ready if self.bans.is_banned(name) => State::Draining,
+            other => other,
+        }
+    }
+
+    /// Operators have taken these out of use, or back.
+    fn banned(&mut self, now: Time, names: &[Arc<str>]) {
+        let mut entries = Vec::new();
+        for name in names {
+            let banned = self.bans.is_banned(name);
+            info!(self.log, "operators' word on a replica"; "name" => %name, "banned" => banned);
+            let Some(server) = self.numbers.get(name) else { continue };
+            let state = self.nodes.get(server).map(|node| self.state_of(name, node.listed.state));
+            let (Some(node), Some(state)) = (self.nodes.get_mut(server), state) else { continue };
+            node.state = state;
+            node.back_at = node.back_at.max(self.bans.ended(name));
+            entries.push(node.entry());
+            self.commands.push(Command::Bar { address: node.address.clone(), barred: state != State::Ready });
+        }
+        if !entries.is_empty() {
+            self.step(now, api::Event::Members { complete: false, entries });
+        }
+    }
+
+    /// What operators have said, where that is new since the last call.
+    pub fn new_marks(&mut self) -> Option<Marks> {
+        std::mem::take(&mut self.bans_changed).then(|| self.bans.marks().clone())
+    }
+
     /// Lets go of nodes that are gone and have no attempt out: names and addresses are ever new, and the table
     /// must not grow with them. The bar goes too, for nothing can be sent to a node that is not in the table.
     fn forget_gone(&mut self) {
@@ -581,6 +678,7 @@
         for server in over {
             let Some(node) = self.nodes.remove(&server) else { continue };
             self.numbers.remove(&node.name);
+            self.bans.has_left(node.name);
             if self.nodes.values().all(|other| other.address != node.address) {
                 self.commands.push(Command::Bar { address: node.address, barred: false });
             }
@@ -743,24 +841,43 @@
 /// The way in and what it leads to, for [`run`].
 pub struct Inbox {
     events: mpsc::Receiver<Event>,
+    urgent: mpsc::Receiver<Event>,
+    marks: watch::Sender<Marks>,
     readiness: watch::Sender<Readiness>,
     open: watch::Sender<usize>,
 }
 
 impl Inbox {
-    /// The next event; `None` when every door is gone.
+    /// The next event, urgent ones first; `None` when every door is gone.
     pub async fn next(&mut self) -> Option<Event> {
-        self.events.recv().await
+        tokio::select! {
+            biased;
+            Some(event) = self.urgent.recv() => Some(event),
+            event = self.events.recv() => event,
+        }
+    }
+
+    fn at_once(&mut self) -> Option<Event> {
+        self.urgent.try_recv().or_else(|_| self.events.try_recv()).ok()
     }
 }
 
 /// Makes the queue of a core.
 pub fn door() -> (Door, Inbox) {
     let (events, queue) = mpsc::channel(QUEUE);
+    let (urgent, urgent_queue) = mpsc::channel(URGENT);
+    let (set_marks, marks) = watch::channel(Marks::new());
     let (set_readiness, readiness) = watch::channel(Readiness::Starting);
     let (set_open, open) = watch::channel(0);
-    let door = Door { events, next: Arc::new(AtomicU64::new(1)), readiness, open };
-    (door, Inbox { events: queue, readiness: set_readiness, open: set_open })
+    let door = Door { events, urgent, marks, next: Arc::new(AtomicU64::new(1)), readiness, open };
+    let inbox = Inbox {
+        events: queue,
+        urgent: urgent_queue,
+        marks: set_marks,
+        readiness: set_readiness,
+        open: set_open,
+    };
+    (door, inbox)
 }
 
 /// The task that owns the core: it ends when every door is gone.
@@ -783,7 +900,7 @@
         }
         // Everything that has come in by now is one batch, heard in the order in which it came.
         let now = clock.now();
-        while let Ok(event) = inbox.events.try_recv() {
+        while let Some(event) = inbox.at_once() {
             core.hear(now, event);
         }
         core.wake(now);
@@ -792,6 +909,9 @@
                 return;
             }
         }
+        if let Some(marks) = core.new_marks() {
+            inbox.marks.send_replace(marks);
+        }
         let ready = core.readiness();
         if inbox.readiness.send_if_modified(|old| std::mem::replace(old, ready) != ready) {
             info!(core.log, "readiness"; "state" => ?ready);
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod health;
 pub mod listener;
+pub mod management;
 pub mod names;
 pub mod platform;
 pub mod room;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod bans;
 pub mod discovery;
 pub mod dispatch;
 pub mod fronts;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use quartzhall::dispatch::{self, Clock, Core, Event};
 use quartzhall::fronts::room::Rooms;
-use quartzhall::fronts::{health, listener, platform, websocket};
+use quartzhall::fronts::{health, listener, management, platform, websocket};
 use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, nodes, reload};
 use slog::{info, o, Drain, Level, Logger};
@@ -37,6 +37,9 @@
         /// The session file: where WebSocket sessions are taken and opened. Without it they are off.
         #[arg(long)]
         websocket: Option<PathBuf>,
+        /// Where operators call, in place of the configuration's `management`.
+        #[arg(long, env = "GW_MANAGEMENT")]
+        management: Option<String>,
         /// What is logged: error, warning, info or debug.
         #[arg(long, env = "QUARTZHALL_LOG", default_value = "info", value_parser = level)]
         log: Level,
@@ -83,7 +86,7 @@
 }
 
 async fn serve(
-    file: PathBuf, config: Config, site: Site, sessions: Sessions, log: Logger,
+    file: PathBuf, config: Config, site: Site, sessions: Sessions, management: Option<String>, log: Logger,
 ) -> Result<(), String> {
     // Signals come first: one that came before its handler would end the program.
     let hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
@@ -98,6 +101,10 @@
     if let Some(address) = &sessions.agent_check {
         agent_listener = Some(listen(address).await?);
     }
+    let mut management_listener = None;
+    if let Some(address) = management.as_ref().or(config.management.as_ref()).filter(|it| !it.is_empty()) {
+        management_listener = Some(listen(address).await?);
+    }
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| "the seed is not hexadecimal")?;
     let (client_sockets, node_sockets) = config.limits.shares();
     let memory = (config.limits.memory_mb.unwrap_or(192) as usize).saturating_mul(1 << 20);
@@ -123,6 +130,10 @@
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
     vital.spawn(reload::run(file, hangup, set_discovery, log.clone()));
+    if let Some(at) = management_listener {
+        // Operators are answered to the very end.
+        vital.spawn(management::serve(at, door.clone(), log.clone()));
+    }
 
     let (set_stop, stop) = watch::channel(false);
     let site = Arc::new(site);
@@ -175,16 +186,17 @@
             let (classes, tenants) = (site.settings.classes.len(), site.settings.tenants.len());
             let known = config.known.map_or(0, |known| known.members.len());
             println!("{}: {classes} classes, {tenants} tenants, {known} known members", config.name);
+            println!("management: {}", config.management.as_deref().unwrap_or("off"));
             println!("sessions: {}", sessions.listen.as_deref().unwrap_or("off"));
             Ok(())
         }
-        Task::Serve { config, websocket, log } => {
+        Task::Serve { config, websocket, management, log } => {
             let file = config;
             let (config, site, sessions) = read(&file, websocket.as_deref())?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
             let (log, _guard) = logger(log);
-            runtime.block_on(serve(file, config, site, sessions, log))
+            runtime.block_on(serve(file, config, site, sessions, management, log))
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -337,6 +337,8 @@
     pub listen: String,
     /// Where discovery listens.
     pub discovery: String,
+    /// Where operators call; absent: nowhere.
+    pub management: Option<String>,
     /// For random numbers, in hexadecimal digits.
     pub seed: String,
     /// What the dispatcher may use.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,6 +1,7 @@
 //! The core by itself: no wire, no clock but the numbers given to it.
 
 use quartzhall::api::{Ask, Entry, Role, State, Status, Time};
+use quartzhall::bans::Refusal;
 use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
 use quartzhall::settings::{Profile, Site};
 use slog::{o, Discard, Logger};
@@ -309,3 +310,79 @@
         bench.pass(1_100 * MS);
     }
 }
+
+impl Bench {
+    fn ban(&mut self, name: &str, banned: bool) -> Result<(), Refusal> {
+        let (answer, mut answered) = oneshot::channel();
+        self.hear(Event::Ban { name: name.into(), banned, answer });
+        answered.try_recv().unwrap()
+    }
+
+    fn bars(&self) -> Vec<(&str, bool)> {
+        let bar = |command| match command {
+            &Command::Bar { ref address, barred } => Some((&**address, barred)),
+            _ => None,
+        };
+        self.commands.iter().filter_map(bar).collect()
+    }
+}
+
+#[test]
+fn a_ban_holds_whatever_discovery_says_until_the_call_back() {
+    let mut bench = Bench::new(10);
+    assert_eq!(bench.ban("never", true), Err(Refusal::Unknown));
+    assert_eq!(bench.ban("r", true), Ok(()));
+    assert_eq!(bench.bars().last(), Some(&("127.0.0.1:7001", true)));
+    assert_eq!(bench.ban("r", true), Ok(()));
+    let told = |state, complete| {
+        let mut members = vec![member("ww", Role::Writer, State::Ready)];
+        members.extend((state != State::Gone).then(|| member("r", Role::Reader, state)));
+        Event::Members { complete, members }
+    };
+    // It leaves the list and its node is forgotten, comes back, drains, is ready again, and moves.
+    bench.commands.clear();
+    for state in [State::Ready, State::Gone, State::Ready, State::Draining, State::Ready] {
+        bench.hear(told(state, true));
+        bench.pass(100 * MS);
+        assert_eq!(bench.core.readiness(), Readiness::Starting);
+    }
+    assert!(
+        !bench.bars().contains(&("127.0.0.1:7001", false))
+            || bench.bars().contains(&("127.0.0.1:7001", true))
+    );
+    let moved = Member { address: "127.0.0.1:7999".into(), ..member("r", Role::Reader, State::Ready) };
+    bench.hear(Event::Members { complete: false, members: vec![moved] });
+    assert_eq!(bench.bars().last(), Some(&("127.0.0.1:7002", false)), "the writer's, as ever");
+    assert!(bench.bars().contains(&("127.0.0.1:7999", true)));
+    let _waits = bench.ask(1, 0, "a");
+    bench.pass(200 * MS);
+    assert_eq!(bench.sends(), 0);
+    // While it is gone from the list too, it is known.
+    bench.hear(told(State::Gone, true));
+    assert_eq!(bench.ban("r", true), Ok(()));
+    bench.hear(told(State::Ready, true));
+    assert_eq!(bench.ban("r", false), Ok(()));
+    bench.pass(200 * MS);
+    assert_eq!((bench.sends(), bench.core.readiness()), (1, Readiness::Ready));
+    // Discovery drains it by itself: the ban's end does not hide that.
+    bench.hear(told(State::Draining, true));
+    assert_eq!(bench.core.readiness(), Readiness::Starting);
+}
+
+#[test]
+fn another_process_is_heard_and_told() {
+    let mut bench = Bench::new(10);
+    assert_eq!(bench.core.new_marks(), None);
+    bench.ban("r", true).unwrap();
+    let marks = bench.core.new_marks().unwrap();
+    assert_eq!(bench.core.new_marks(), None);
+    let mut other = Bench::new(10);
+    other.hear(Event::Marks(marks.clone()));
+    assert_eq!(other.core.readiness(), Readiness::Starting);
+    assert_eq!(other.core.new_marks().as_ref(), Some(&marks));
+    other.hear(Event::Marks(marks));
+    assert_eq!(other.core.new_marks(), None, "nothing new");
+    other.ban("r", false).unwrap();
+    bench.hear(Event::Marks(other.core.new_marks().unwrap()));
+    assert_eq!(bench.core.readiness(), Readiness::Ready);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -16,7 +16,7 @@
 use miniserde::json;
 use quartzhall::dispatch::{self, Clock, Core, Door, Event};
 use quartzhall::fronts::room::Rooms;
-use quartzhall::fronts::{health, listener, platform, websocket};
+use quartzhall::fronts::{health, listener, management, platform, websocket};
 use quartzhall::settings::{MemberList, Profile, Sessions, Site};
 use quartzhall::{discovery, nodes};
 use slog::{o, Discard, Logger};
@@ -237,6 +237,7 @@
     pub go: Arc<Notify>,
     pub platform: String,
     pub sessions: String,
+    pub management: String,
     pub stop: watch::Sender<bool>,
     pub over: tokio::task::JoinHandle<()>,
     pub addresses: Vec<String>,
@@ -304,6 +305,8 @@
         );
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
         let front = listener::serve(listener, routes, 50, stopped.clone(), log.clone());
+        let (calls, management) = bind().await;
+        tokio::spawn(management::serve(calls, door.clone(), log.clone()));
         let (listener, platform) = bind().await;
         let routes = platform::routes(door.clone(), site, rooms, log.clone());
         let thin = listener::serve(listener, routes, 50, stopped, log.clone());
@@ -312,8 +315,21 @@
             shared.over().await;
         });
         let site = Mutex::new(second);
-        let fleet =
-            Fleet { door, ledger, go, platform, sessions, stop, over, nodes: standing, addresses, site, log };
+        let nodes = standing;
+        let fleet = Fleet {
+            door,
+            ledger,
+            go,
+            platform,
+            sessions,
+            management,
+            stop,
+            over,
+            nodes,
+            addresses,
+            site,
+            log,
+        };
         fleet.tell(&[(0, "Ready"), (1, "Ready"), (2, "Ready")]).await;
         fleet.door.becomes(dispatch::Readiness::Ready).await;
         fleet
