Serve from an inherited socket and share limits, bans and the door with a successor

handover takes the socket that GW_SOCKET_FD names (checked by SO_ACCEPTCONN, the one place with unsafe), posts a locked notice in TMPDIR, and looks after the share of descriptors, memory and held requests (places, resizable) and the file of bans. A successor takes clients when it has discovery's list and its share. From SIGTERM on an old process with a successor accepts nothing and its answers end their connections.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::bans::{Bans, Marks, Refusal};
+use crate::places::PARTS;
 use crate::Router;
 use bytes::Bytes;
 use slog::{debug, info, warn, Logger};
@@ -145,6 +146,15 @@
         /// Whether that holds now.
         answer: oneshot::Sender<Result<(), Refusal>>,
     },
+    /// Clients are taken from now on.
+    Open,
+    /// The part of its limits that this process keeps to, of [`PARTS`], and how many processes there are.
+    Share {
+        /// The part.
+        part: u32,
+        /// Processes of this dispatcher.
+        processes: u32,
+    },
     /// What another process of this dispatcher knows of replicas that are out of use.
     Marks(Marks),
     /// The dispatcher is to end: it takes no more from balancers, and serves what still comes.
@@ -207,6 +217,8 @@
 pub enum Readiness {
     /// Nothing could be served yet: no reader or no writer is known.
     Starting,
+    /// Able to serve, but no clients are taken yet.
+    Able,
     /// Able to serve.
     Ready,
     /// About to end; still serving.
@@ -279,9 +291,9 @@
         answered.await.ok()
     }
 
-    /// Tells what another process knows of replicas that are out of use, ahead of all that waits.
-    pub async fn merge(&self, marks: Marks) {
-        let _ = self.urgent.send(Event::Marks(marks)).await;
+    /// Tells the core ahead of all that waits.
+    pub async fn tell_first(&self, event: Event) {
+        let _ = self.urgent.send(event).await;
     }
 
     /// What operators have said of replicas.
@@ -363,6 +375,9 @@
     release_within: Time,
     retry_after: Time,
     most_held: usize,
+    whole_held: usize,
+    processes: u32,
+    held_back: bool,
     numbers: HashMap<Arc<str>, ServerId>,
     next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
@@ -388,6 +403,9 @@
             release_within,
             retry_after,
             most_held,
+            whole_held: most_held,
+            processes: 1,
+            held_back: false,
             numbers: HashMap::new(),
             next_number: 0,
             nodes: BTreeMap::new(),
@@ -405,6 +423,11 @@
         core
     }
 
+    /// Is not ready until it hears [`Event::Open`].
+    pub fn hold_back(&mut self) {
+        self.held_back = true;
+    }
+
     /// Hears one event.
     pub fn hear(&mut self, now: Time, event: Event) {
         match event {
@@ -438,6 +461,12 @@
                 self.bans_changed |= !changed.is_empty();
                 self.banned(now, &changed);
             }
+            Event::Open => self.held_back = false,
+            Event::Share { part, processes } => {
+                let most = self.whole_held as u128 * u128::from(part) / u128::from(PARTS);
+                self.most_held = (most as usize).max(1);
+                self.processes = processes;
+            }
             Event::Drain => self.draining = true,
         }
     }
@@ -484,6 +513,7 @@
         let able = |spared| self.nodes.values().any(|it| it.state == State::Ready && it.role != spared);
         match (self.draining, able(Role::Writer) && able(Role::Reader)) {
             (true, _) => Readiness::Draining,
+            (false, true) if self.held_back => Readiness::Able,
             (false, true) => Readiness::Ready,
             (false, false) => Readiness::Starting,
         }
--- a/src/fronts/health.rs
+++ b/src/fronts/health.rs
@@ -1,5 +1,6 @@
 //! Answers for balancers in front: they render the core's state and decide nothing.
 
+use super::Course;
 use crate::dispatch::{Door, Readiness};
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -19,7 +20,7 @@
 pub async fn ready(State(door): State<Door>) -> (StatusCode, &'static str) {
     match door.readiness() {
         Readiness::Ready => (StatusCode::OK, "ready\n"),
-        Readiness::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        Readiness::Starting | Readiness::Able => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
         Readiness::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
     }
 }
@@ -27,7 +28,7 @@
 /// `GET /health`: 200 while the process serves what it has, whether or not it is to get more.
 async fn health(State(door): State<Door>) -> (StatusCode, &'static str) {
     match door.readiness() {
-        Readiness::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        Readiness::Starting | Readiness::Able => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
         Readiness::Ready | Readiness::Draining => (StatusCode::OK, "alive\n"),
     }
 }
@@ -40,17 +41,17 @@
 /// The line of an agent check, as HAProxy's `agent-check` reads it.
 pub fn agent_line(readiness: Readiness) -> &'static str {
     match readiness {
-        Readiness::Starting => "down\n",
+        Readiness::Starting | Readiness::Able => "down\n",
         Readiness::Ready => "up ready\n",
         Readiness::Draining => "up drain\n",
     }
 }
 
-/// Answers agent checks, one line a connection, until `stop` turns true.
-pub async fn serve_agent(listener: TcpListener, door: Door, mut stop: watch::Receiver<bool>, log: Logger) {
+/// Answers agent checks, one line a connection, until the dispatcher ends.
+pub async fn serve_agent(listener: TcpListener, door: Door, mut stop: watch::Receiver<Course>, log: Logger) {
     loop {
         let accepted = tokio::select! {
-            _ = stop.wait_for(|stop| *stop) => return,
+            _ = stop.wait_for(|course| *course == Course::Ending) => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -3,6 +3,8 @@
 //! A connection has a [`Seat`], which says what it is doing and since when. Mute and slow clients lose theirs in
 //! time, and at the limit one that stands idle makes room for a new one, so that nobody can lock the others out.
 
+use super::Course;
+use crate::places::{Place, Places};
 use axum::body::Body;
 use axum::http::{header, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -22,7 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
 use tower_service::Service;
@@ -231,14 +233,15 @@
     }
 }
 
-/// The places of a listener.
+/// What connections know of their listener.
 #[derive(Clone)]
-struct Places {
-    free: Arc<Semaphore>,
+struct House {
+    places: Places,
     waited: Arc<Mutex<Option<Instant>>>,
+    course: watch::Receiver<Course>,
 }
 
-impl Places {
+impl House {
     fn waited(&self) -> MutexGuard<'_, Option<Instant>> {
         self.waited.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -246,14 +249,18 @@
     /// A new connection found no place of late, nor one that might be closed for it. Answers then end their
     /// connections, as the protocol allows at any time: crowds of clients that ask once and stay would else take
     /// all places for as long as idle ones are kept.
-    fn are_few(&self) -> bool {
-        self.waited().is_some_and(|at| at.elapsed() < SPARED_TIME)
+    fn is_full(&self) -> bool {
+        self.waited().is_some_and(|at| at.elapsed() < SPARED_TIME) || self.places.over() > 0
+    }
+
+    fn leaves(&self) -> bool {
+        *self.course.borrow() > Course::Serving
     }
 }
 
 /// Serves one request. A body whose length is not stated is refused, whatever its route: with a length stated
 /// beside it, as hyper no longer shows, it may hide a second request.
-async fn answer(mut routes: Router, places: Places, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
+async fn answer(mut routes: Router, house: House, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
     seat.becomes(Phase::Open);
     let asked = Asked(seat);
     let mut response = if request.headers().contains_key(header::TRANSFER_ENCODING) {
@@ -265,19 +272,18 @@
             Err(never) => match never {},
         }
     };
-    if places.are_few() && response.status() != StatusCode::SWITCHING_PROTOCOLS {
+    if (house.is_full() || house.leaves()) && response.status() != StatusCode::SWITCHING_PROTOCOLS {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response.map(|body| Body::new(Answering { body, _asked: asked }))
 }
 
-async fn serve_one(
-    stream: TcpStream, seat: Arc<Seat>, routes: Router, places: Places, mut stop: watch::Receiver<bool>,
-) {
+async fn serve_one(stream: TcpStream, seat: Arc<Seat>, routes: Router, house: House) {
     let _ = stream.set_nodelay(true);
+    let mut course = house.course.clone();
     let taken = seat.clone();
     let service = service_fn(move |request| {
-        let answer = answer(routes.clone(), places.clone(), taken.clone(), request);
+        let answer = answer(routes.clone(), house.clone(), taken.clone(), request);
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
@@ -287,7 +293,7 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = seat.over() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
+        _ = course.wait_for(|course| *course == Course::Ending) => {}
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
@@ -298,26 +304,26 @@
 
 /// The connections of a listener.
 struct Seats {
-    places: Places,
+    house: House,
     taken: HashMap<tokio::task::Id, Arc<Seat>>,
 }
 
 impl Seats {
     /// A place for a new connection. At the limit a mute one, or the one that has stood idle longest, is closed for
     /// it; where none has done so for long enough, the new one waits in the listener's queue.
-    async fn place(&self) -> Option<OwnedSemaphorePermit> {
-        let free = self.places.free.clone().acquire_owned();
+    async fn place(&self) -> Option<Place> {
+        let free = self.house.places.take(1);
         let mut free = pin!(free);
         loop {
             let spared = self.taken.values().filter_map(|seat| Some((seat.spared_at()?, seat)));
             let first = spared.min_by_key(|(at, _)| *at);
             let wait = first.map_or_else(|| Instant::now() + MUTE_TIME, |(at, _)| at);
-            if self.places.free.available_permits() == 0 && wait > Instant::now() {
-                *self.places.waited() = Some(Instant::now());
+            if self.house.places.free() == 0 && wait > Instant::now() {
+                *self.house.waited() = Some(Instant::now());
             }
             tokio::select! {
                 biased;
-                place = free.as_mut() => return place.ok(),
+                place = free.as_mut() => return place,
                 () = sleep_until(wait) => {}
             }
             if let Some((_, seat)) = first {
@@ -329,18 +335,18 @@
     }
 }
 
-/// Serves clients until `stop` turns true; then no more connections are taken, those that are idle are
-/// closed, and it returns when all are over. `most` is the most connections at once.
+/// Serves clients, as many connections as there are places. When the dispatcher leaves, no more of them are taken;
+/// when it ends, those that are idle are closed, and it returns when all are over.
 pub async fn serve(
-    listener: TcpListener, routes: Router, most: usize, mut stop: watch::Receiver<bool>, log: Logger,
+    listener: TcpListener, routes: Router, places: Places, mut course: watch::Receiver<Course>, log: Logger,
 ) {
     let mut seats = Seats {
-        places: Places { free: Arc::new(Semaphore::new(most)), waited: Arc::default() },
+        house: House { places, waited: Arc::default(), course: course.clone() },
         taken: HashMap::new(),
     };
     let mut connections = JoinSet::new();
     let mut pause = Duration::from_millis(5);
-    let mut stopping = stop.clone();
+    let mut leaving = course.clone();
     loop {
         while let Some(ended) = connections.try_join_next_with_id() {
             let task = ended.map_or_else(|error| error.id(), |(task, ())| task);
@@ -348,7 +354,7 @@
         }
         let accepted = tokio::select! {
             biased;
-            _ = stopping.wait_for(|stop| *stop) => break,
+            _ = leaving.wait_for(|course| *course > Course::Serving) => break,
             accepted = async {
                 let place = seats.place().await;
                 (listener.accept().await, place)
@@ -367,16 +373,15 @@
         };
         pause = Duration::from_millis(5);
         let seat = Seat::new();
-        let (routes, stop, of_task) = (routes.clone(), stop.clone(), seat.clone());
-        let places = seats.places.clone();
+        let (routes, house, of_task) = (routes.clone(), seats.house.clone(), seat.clone());
         let task = connections.spawn(async move {
-            serve_one(stream, of_task, routes, places, stop).await;
+            serve_one(stream, of_task, routes, house).await;
             drop(place);
         });
         seats.taken.insert(task.id(), seat);
     }
     drop(listener);
     info!(log, "no more connections are taken"; "open" => connections.len());
-    let _ = stop.wait_for(|stop| *stop).await;
+    let _ = course.wait_for(|course| *course == Course::Ending).await;
     while connections.join_next().await.is_some() {}
 }
--- a/src/fronts/management.rs
+++ b/src/fronts/management.rs
@@ -78,7 +78,7 @@
         Call::Ready => {
             return match door.readiness() {
                 Readiness::Ready => Ok(()),
-                Readiness::Starting => Err("starting"),
+                Readiness::Starting | Readiness::Able => Err("starting"),
                 Readiness::Draining => Err("draining"),
             }
         }
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -7,3 +7,14 @@
 pub mod platform;
 pub mod room;
 pub mod websocket;
+
+/// How far a dispatcher is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Course {
+    /// It serves.
+    Serving,
+    /// It takes no new connections, for a successor does; answers end those that it has.
+    Leaving,
+    /// What is idle is closed, and what is open is ended.
+    Ending,
+}
--- a/src/fronts/room.rs
+++ b/src/fronts/room.rs
@@ -1,19 +1,21 @@
 //! The memory that the bodies of requests may take, all fronts together.
 
+use crate::places::{Place, Places};
 use bytes::Bytes;
-use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// A request's body may have so many bytes.
 pub const MOST_BODY: usize = 256 * 1024;
 
+/// Kilobytes for one body.
+const LEAST: usize = MOST_BODY / 1024 + 1;
+
 /// What is left of the memory. Cheap to clone.
 #[derive(Clone)]
-pub struct Rooms(Arc<Semaphore>);
+pub struct Rooms(Places);
 
 /// A part of it, for one body.
 pub struct Room {
-    _permit: OwnedSemaphorePermit,
+    _place: Place,
 }
 
 struct Kept {
@@ -34,17 +36,22 @@
 impl Rooms {
     /// So many kilobytes in all, and enough for one body at least.
     pub fn new(kb: usize) -> Self {
-        Rooms(Arc::new(Semaphore::new(kb.max(MOST_BODY / 1024 + 1))))
+        Rooms(Places::new(kb.max(LEAST)))
+    }
+
+    /// Keeps to so many parts of the memory, though to enough for one body at least.
+    pub fn set_part(&self, part: u32) {
+        self.0.set_part(part, LEAST);
     }
 
     /// Room for a body of this length; waits for it.
     pub async fn wait(&self, bytes: usize) -> Option<Room> {
-        self.0.clone().acquire_many_owned(kilobytes(bytes)).await.ok().map(|_permit| Room { _permit })
+        self.0.take(kilobytes(bytes)).await.map(|_place| Room { _place })
     }
 
     /// Room for a body of this length, if there is some now.
     pub fn at_once(&self, bytes: usize) -> Option<Room> {
-        self.0.clone().try_acquire_many_owned(kilobytes(bytes)).ok().map(|_permit| Room { _permit })
+        self.0.take_now(kilobytes(bytes)).map(|_place| Room { _place })
     }
 }
 
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::{Answer, Door, Piece, Work};
 use crate::fronts::names::{is_name, key};
 use crate::fronts::room::{Rooms, MOST_BODY};
+use crate::fronts::Course;
 use crate::settings::{hash, micros, Sessions, Site};
 use axum::extract::ws::{close_code, CloseFrame, Message, WebSocket, WebSocketUpgrade};
 use axum::extract::State;
@@ -210,7 +211,7 @@
     stands: Arc<Mutex<HashMap<u64, Arc<Stand>>>>,
     names: Arc<AtomicU64>,
     boot: u64,
-    stop: watch::Receiver<bool>,
+    stop: watch::Receiver<Course>,
     log: Logger,
 }
 
@@ -218,7 +219,7 @@
     /// What sessions share. `seed` makes the names under which nodes know requests differ between starts.
     pub fn new(
         door: Door, site: Arc<Site>, options: Arc<Sessions>, rooms: Rooms, seed: u64,
-        stop: watch::Receiver<bool>, log: Logger,
+        stop: watch::Receiver<Course>, log: Logger,
     ) -> Self {
         Shared {
             door,
@@ -271,7 +272,7 @@
 }
 
 async fn upgrade(State(shared): State<Shared>, upgrade: WebSocketUpgrade) -> Response {
-    if *shared.stop.borrow() {
+    if *shared.stop.borrow() == Course::Ending {
         return (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response();
     }
     let Some(place) = shared.place().await else {
@@ -329,7 +330,7 @@
         let message = tokio::select! {
             biased;
             Some(message) = waiting.recv() => Some(message),
-            _ = stop.wait_for(|stop| *stop), if !stopping => {
+            _ = stop.wait_for(|course| *course == Course::Ending), if !stopping => {
                 stopping = true;
                 None
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,7 +72,7 @@
 //! assert!(actions.iter().any(|action| matches!(action, Action::Send { id: 1, server: 1, .. })));
 //! ```
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
@@ -80,8 +80,10 @@
 pub mod discovery;
 pub mod dispatch;
 pub mod fronts;
+pub mod handover;
 mod logic;
 pub mod nodes;
+pub mod places;
 pub mod reload;
 pub mod settings;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,17 @@
 //! The dispatcher: its command line and its signals.
 
 use clap::{Parser, Subcommand};
-use quartzhall::dispatch::{self, Clock, Core, Event};
+use quartzhall::dispatch::{self, Clock, Core, Door, Event, Readiness};
 use quartzhall::fronts::room::Rooms;
-use quartzhall::fronts::{health, listener, management, platform, websocket};
+use quartzhall::fronts::{health, listener, management, platform, websocket, Course};
+use quartzhall::handover::shares::Phase;
+use quartzhall::handover::{self, Handover, Limits, View};
+use quartzhall::places::{Places, PARTS};
 use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, nodes, reload};
-use slog::{info, o, Drain, Level, Logger};
+use slog::{info, o, warn, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,10 +19,16 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// After SIGTERM new connections are served for so long, until balancers in front have noticed.
 const GRACE: Duration = Duration::from_millis(500);
 
+/// A successor waits so long for discovery's list before it takes the one that it was told ...
+const LIST_TIME: Duration = Duration::from_millis(1500);
+/// ... and so long for its part of the limits.
+const SHARE_TIME: Duration = Duration::from_millis(1500);
+
 /// A dispatcher for fleets of language-model servers.
 #[derive(Parser)]
 #[command(name = "quartzhall", version)]
@@ -85,6 +95,44 @@
     (Logger::root(drain.filter_level(level).fuse(), o!()), guard)
 }
 
+/// What the processes of one dispatcher share.
+#[derive(Clone)]
+struct Shares {
+    clients: Places,
+    nodes: Places,
+    rooms: Rooms,
+}
+
+impl Limits for Shares {
+    fn set(&self, part: u32) -> u32 {
+        self.rooms.set_part(part);
+        let used = [&self.clients, &self.nodes].map(|places| {
+            places.set_part(part, 4);
+            (places.taken() * PARTS as usize).div_ceil(places.whole().max(1)) as u32
+        });
+        used[0].max(used[1])
+    }
+}
+
+/// Tells other processes of this dispatcher that this one is there, where they have a folder in common.
+fn post(name: &str, clock: Clock, log: &Logger) -> Option<Handover> {
+    let folder = std::env::var_os("TMPDIR").filter(|it| !it.is_empty())?;
+    let posted = Handover::start(Path::new(&folder), name, clock.now(), log.clone());
+    posted.map_err(|error| warn!(log, "no notice for other processes"; "error" => %error)).ok()
+}
+
+/// Waits until a successor can take clients: it has a list, discovery's own if that comes soon, and its part of the
+/// limits, if the predecessor comes down to its own soon.
+async fn take_over(door: &Door, known: Option<Event>, view: &mut watch::Receiver<View>) {
+    if timeout(LIST_TIME, door.becomes(Readiness::Able)).await.is_err() {
+        if let Some(known) = known {
+            door.tell(known).await;
+        }
+        door.becomes(Readiness::Able).await;
+    }
+    let _ = timeout(SHARE_TIME, view.wait_for(|view| view.part >= PARTS / 4)).await;
+}
+
 async fn serve(
     file: PathBuf, config: Config, site: Site, sessions: Sessions, management: Option<String>, log: Logger,
 ) -> Result<(), String> {
@@ -92,7 +140,13 @@
     let hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
-    let platform_listener = listen(&config.listen).await?;
+    let inherited = std::env::var("GW_SOCKET_FD").ok().filter(|it| !it.is_empty());
+    let platform_listener = match &inherited {
+        Some(descriptor) => {
+            TcpListener::from_std(handover::inherited(descriptor)?).map_err(|it| it.to_string())?
+        }
+        None => listen(&config.listen).await?,
+    };
     let mut session_listener = None;
     if let Some(address) = &sessions.listen {
         session_listener = Some(listen(address).await?);
@@ -114,18 +168,39 @@
 
     let clock = Clock::start();
     let (door, inbox) = dispatch::door();
+    let mut handover = inherited.is_some().then(|| post(&config.name, clock, &log)).flatten();
+    let view = handover.as_ref().map_or(View::default(), Handover::view);
     let most_held = site.bounds.most_held.min(node_sockets);
     let mut core = Core::new(site.settings.clone(), most_held, seed, clock.now(), log.clone());
+    if let Some(marks) = handover.as_mut().and_then(Handover::new_bans) {
+        core.hear(clock.now(), Event::Marks(marks));
+    }
     let mut members_site = Site::new(&config.settings)?;
-    if let Some(known) = &config.known {
-        core.hear(clock.now(), discovery::members(&mut members_site, known, &log));
+    let known = config.known.as_ref().map(|known| discovery::members(&mut members_site, known, &log));
+    // A successor hears discovery first: what it was told at its start may be as old as its predecessor.
+    let mut known_later = None;
+    match known {
+        Some(known) if !view.predecessor => core.hear(clock.now(), known),
+        known => known_later = known,
+    }
+    if view.predecessor {
+        core.hold_back();
     }
     let (commands, commanded) = mpsc::channel(1024);
     let speak_sessions = sessions.nodes.iter().cloned().collect();
     let bounds = site.bounds;
+    let limits = Shares {
+        clients: Places::new(client_sockets - for_sessions),
+        nodes: Places::new(node_sockets),
+        rooms: Rooms::new(memory / 1024 / 3),
+    };
+    if view.predecessor {
+        limits.set(view.part);
+    }
+    let Shares { clients, nodes: to_nodes, rooms } = limits.clone();
     // Without any of these the dispatcher would take requests and answer none: it ends instead.
     let mut vital = JoinSet::new();
-    vital.spawn(nodes::run(commanded, door.clone(), bounds, node_sockets, speak_sessions, log.clone()));
+    vital.spawn(nodes::run(commanded, door.clone(), bounds, to_nodes, speak_sessions, log.clone()));
     vital.spawn(dispatch::run(core, clock, inbox, commands));
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
@@ -134,35 +209,63 @@
         // Operators are answered to the very end.
         vital.spawn(management::serve(at, door.clone(), log.clone()));
     }
+    let (set_phase, phase) = watch::channel(Phase::Starting);
+    let (set_view, mut view) = watch::channel(view);
+    if let Some(handover) = handover {
+        vital.spawn(handover::run(handover, limits, door.clone(), phase, set_view));
+    }
 
-    let (set_stop, stop) = watch::channel(false);
+    let (set_course, course) = watch::channel(Course::Serving);
     let site = Arc::new(site);
-    let rooms = Rooms::new(memory / 1024 / 3);
     let routes = platform::routes(door.clone(), site.clone(), rooms.clone(), log.clone());
-    let most = client_sockets - for_sessions;
+    let most = clients.whole();
     let mut fronts = JoinSet::new();
-    fronts.spawn(listener::serve(platform_listener, routes, most, stop.clone(), log.clone()));
     let options = Arc::new(sessions);
-    let shared = websocket::Shared::new(door.clone(), site, options, rooms, seed, stop.clone(), log.clone());
+    let shared =
+        websocket::Shared::new(door.clone(), site, options, rooms, seed, course.clone(), log.clone());
     if let Some(at) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        fronts.spawn(listener::serve(at, routes, shaking, stop.clone(), log.clone()));
+        fronts.spawn(listener::serve(at, routes, Places::new(shaking), course.clone(), log.clone()));
     }
     if let Some(at) = agent_listener {
-        fronts.spawn(health::serve_agent(at, door.clone(), stop.clone(), log.clone()));
+        fronts.spawn(health::serve_agent(at, door.clone(), course.clone(), log.clone()));
     }
     info!(log, "serving"; "name" => config.name, "listen" => config.listen, "most_held" => most_held,
         "from_clients" => most, "to_nodes" => node_sockets);
 
     let work = async {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        let ends = async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        let mut ends = pin!(ends);
+        let opens = async {
+            if view.borrow().predecessor {
+                take_over(&door, known_later, &mut view.clone()).await;
+                info!(log, "takes over"; "view" => ?*view.borrow());
+            }
+            let _ = set_phase.send(Phase::Serving);
+            door.tell(Event::Open).await;
+        };
+        let ended_early = tokio::select! {
+            () = ends.as_mut() => true,
+            () = opens => false,
+        };
+        if !ended_early {
+            fronts.spawn(listener::serve(platform_listener, routes, clients, course, log.clone()));
+            ends.await;
         }
-        info!(log, "draining"; "open" => door.open());
+        let succeeded = view.borrow_and_update().successor;
+        info!(log, "draining"; "open" => door.open(), "succeeded" => succeeded);
         door.tell(Event::Drain).await;
+        let _ = set_phase.send(Phase::Leaving);
+        if succeeded {
+            let _ = set_course.send(Course::Leaving);
+        }
         tokio::time::sleep(GRACE).await;
-        let _ = set_stop.send(true);
+        let _ = set_course.send(Course::Ending);
         while fronts.join_next().await.is_some() {}
         shared.over().await;
         door.empty().await;
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to nodes: opened within the dial time and the descriptors allowed.
 
+use crate::places::{Place, Places};
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// All places for connections are taken.
@@ -56,7 +57,7 @@
 pub struct Wire {
     stream: TcpStream,
     carried: Arc<Carried>,
-    _place: OwnedSemaphorePermit,
+    _place: Place,
 }
 
 impl AsyncRead for Wire {
@@ -106,20 +107,15 @@
 #[derive(Clone)]
 pub struct Dialer {
     limit: Duration,
-    places: Arc<Semaphore>,
+    places: Places,
     barred: Arc<Mutex<HashSet<Arc<str>>>>,
     changed: watch::Sender<()>,
 }
 
 impl Dialer {
-    /// At most `sockets` connections, each up within `limit`.
-    pub fn new(limit: Duration, sockets: usize) -> Self {
-        Dialer {
-            limit,
-            places: Arc::new(Semaphore::new(sockets)),
-            barred: Arc::default(),
-            changed: watch::Sender::new(()),
-        }
+    /// As many connections as there are places, each up within `limit`.
+    pub fn new(limit: Duration, places: Places) -> Self {
+        Dialer { limit, places, barred: Arc::default(), changed: watch::Sender::new(()) }
     }
 
     fn barred(&self) -> MutexGuard<'_, HashSet<Arc<str>>> {
@@ -160,8 +156,8 @@
     /// it tells nothing of the node.
     pub async fn dial(&self, address: &str) -> io::Result<Wire> {
         let target: SocketAddr = address.parse().map_err(io::Error::other)?;
-        let place = timeout(self.limit, self.places.clone().acquire_owned()).await;
-        let place = place.map_err(|_| io::Error::from(CROWDED))?.map_err(io::Error::other)?;
+        let place = timeout(self.limit, self.places.take(1)).await.ok().flatten();
+        let place = place.ok_or(io::Error::from(CROWDED))?;
         let dialled = timeout(self.limit, async {
             let stream = TcpStream::connect(target).await?;
             stream.set_nodelay(true)?;
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::api::{RequestId, ServerId, Status};
 use crate::dispatch::{Command, Door, Event};
+use crate::places::Places;
 use crate::settings::Bounds;
 use attempt::{End, Passing, Trial};
 use connections::Dialer;
@@ -85,16 +86,16 @@
     }
 }
 
-/// Does what the core commands, until it ends. `sockets` is the most connections to nodes at once;
+/// Does what the core commands, until it ends. `places` are for connections to nodes;
 /// `speak_sessions` names the addresses of nodes that speak WebSocket sessions.
 pub async fn run(
-    mut commands: mpsc::Receiver<Command>, door: Door, bounds: Bounds, sockets: usize,
+    mut commands: mpsc::Receiver<Command>, door: Door, bounds: Bounds, places: Places,
     speak_sessions: HashSet<String>, log: Logger,
 ) {
-    let dialer = Dialer::new(Duration::from_micros(bounds.dial), sockets);
+    let most_idle = (places.whole() / IDLE_PART).max(1);
+    let dialer = Dialer::new(Duration::from_micros(bounds.dial), places);
     // Nodes close what was idle for the settings' time; a request written then would be lost.
     let idle = Duration::from_micros(bounds.idle * 7 / 10);
-    let most_idle = (sockets / IDLE_PART).max(1);
     let http = Http::new(dialer.clone(), idle, most_idle, log.clone());
     let sessions = Sessions::new(dialer.clone(), idle, log.clone());
     let shared = Shared { http, sessions, speak_sessions: Arc::new(speak_sessions), door, log };
--- /dev/null
+++ b/src/places.rs
@@ -0,0 +1,109 @@
+//! Places of which there is a bounded number: connections, kilobytes. The number may change while they are taken.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// The limits of a dispatcher are shared between its processes in such parts.
+pub const PARTS: u32 = 16;
+
+/// A place that is taken: free again when it is let go.
+pub type Place = OwnedSemaphorePermit;
+
+struct Most {
+    most: usize,
+    owed: usize, // places over the number, to be taken away as they come free
+}
+
+/// Places. Cheap to clone; clones share them.
+#[derive(Clone)]
+pub struct Places {
+    whole: usize,
+    free: Arc<Semaphore>,
+    most: Arc<Mutex<Most>>,
+}
+
+impl Places {
+    /// So many, all of them free.
+    pub fn new(whole: usize) -> Places {
+        let most = Arc::new(Mutex::new(Most { most: whole, owed: 0 }));
+        Places { whole, free: Arc::new(Semaphore::new(whole)), most }
+    }
+
+    fn most(&self) -> MutexGuard<'_, Most> {
+        self.most.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many there are when this process has the limits for itself.
+    pub fn whole(&self) -> usize {
+        self.whole
+    }
+
+    /// Waits for so many.
+    pub async fn take(&self, count: u32) -> Option<Place> {
+        self.free.clone().acquire_many_owned(count).await.ok()
+    }
+
+    /// So many, if they are free now.
+    pub fn take_now(&self, count: u32) -> Option<Place> {
+        self.free.clone().try_acquire_many_owned(count).ok()
+    }
+
+    /// How many are free.
+    pub fn free(&self) -> usize {
+        self.free.available_permits()
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        let most = self.most();
+        (most.most + most.owed).saturating_sub(self.free.available_permits())
+    }
+
+    /// How many are taken beyond the number.
+    pub fn over(&self) -> usize {
+        self.taken().saturating_sub(self.most().most)
+    }
+
+    /// From now on there are so many of [`PARTS`] parts, though not fewer than `least`. What is taken beyond
+    /// goes as it comes free: call again, until nothing is [`Places::over`].
+    pub fn set_part(&self, part: u32, least: usize) {
+        let wanted = (self.whole * part.min(PARTS) as usize / PARTS as usize).max(least).min(self.whole);
+        let mut most = self.most();
+        let there = most.most + most.owed;
+        if wanted >= there {
+            self.free.add_permits(wanted - there);
+            most.owed = 0;
+        } else {
+            most.owed = there - wanted;
+            most.owed -= self.free.forget_permits(most.owed);
+        }
+        most.most = wanted;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_number_changes_while_places_are_taken() {
+        let places = Places::new(32);
+        let taken: Vec<_> = (0..20).map(|_| places.take_now(1).unwrap()).collect();
+        places.set_part(8, 1);
+        assert_eq!((places.free(), places.taken(), places.over()), (0, 20, 4));
+        let mut taken = taken.into_iter();
+        drop(taken.by_ref().take(3).collect::<Vec<_>>());
+        places.set_part(8, 1);
+        assert_eq!((places.free(), places.taken(), places.over()), (0, 17, 1));
+        drop(taken.by_ref().take(3).collect::<Vec<_>>());
+        places.set_part(8, 1);
+        assert_eq!((places.free(), places.taken(), places.over()), (2, 14, 0));
+        places.set_part(PARTS, 1);
+        assert_eq!((places.free(), places.taken(), places.over()), (18, 14, 0));
+        drop(taken);
+        places.set_part(0, 5);
+        assert_eq!((places.free(), places.taken(), places.over()), (5, 0, 0));
+        places.set_part(PARTS, 5);
+        assert_eq!(places.free(), 32);
+    }
+}
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -5,7 +5,8 @@
 use axum::body::Body;
 use axum::routing::{get, post};
 use axum::Router;
-use quartzhall::fronts::listener;
+use quartzhall::fronts::{listener, Course};
+use quartzhall::places::Places;
 use slog::{o, Discard, Logger};
 use stand::{Fleet, Way, ANSWER};
 use std::time::Duration;
@@ -36,12 +37,12 @@
 }
 
 /// A listener without a dispatcher, for so many connections.
-async fn listen(most: usize) -> (String, watch::Sender<bool>) {
+async fn listen(most: usize) -> (String, watch::Sender<Course>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let (stop, stopped) = watch::channel(false);
+    let (stop, stopped) = watch::channel(Course::Serving);
     let routes = Router::new().route("/ready", get(|| async { "ready." })).route("/post", post(|| async {}));
-    tokio::spawn(listener::serve(listener, routes, most, stopped, Logger::root(Discard, o!())));
+    tokio::spawn(listener::serve(listener, routes, Places::new(most), stopped, Logger::root(Discard, o!())));
     (address, stop)
 }
 
@@ -148,13 +149,13 @@
     const FLOOD: usize = 64 << 20;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let (_stop, stopped) = watch::channel(false);
+    let (_stop, stopped) = watch::channel(Course::Serving);
     let flood = || async {
         let pieces = (0..FLOOD >> 16).map(|_| Ok::<_, std::io::Error>(vec![b'x'; 1 << 16]));
         Body::from_stream(futures_util::stream::iter(pieces))
     };
     let routes = Router::new().route("/ready", get(flood));
-    tokio::spawn(listener::serve(listener, routes, 2, stopped, Logger::root(Discard, o!())));
+    tokio::spawn(listener::serve(listener, routes, Places::new(2), stopped, Logger::root(Discard, o!())));
     for (pause, whole) in [(25, true), (35, false)] {
         let mut client = send(&address, GET).await;
         client.read_u8().await.unwrap();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -163,7 +163,7 @@
     let mut idle = Client::connect(&fleet).await;
     idle.write(&get("/ready")).await;
     assert!(idle.read_until("draining\n").await.starts_with("HTTP/1.1 503"));
-    fleet.stop.send(true).unwrap();
+    fleet.stop.send(quartzhall::fronts::Course::Ending).unwrap();
     assert_eq!(idle.read_until("").await, "", "an idle connection is closed");
     tokio::time::timeout(Duration::from_secs(5), fleet.over).await.expect("the fronts end").unwrap();
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -16,7 +16,8 @@
 use miniserde::json;
 use quartzhall::dispatch::{self, Clock, Core, Door, Event};
 use quartzhall::fronts::room::Rooms;
-use quartzhall::fronts::{health, listener, management, platform, websocket};
+use quartzhall::fronts::{health, listener, management, platform, websocket, Course};
+use quartzhall::places::Places;
 use quartzhall::settings::{MemberList, Profile, Sessions, Site};
 use quartzhall::{discovery, nodes};
 use slog::{o, Discard, Logger};
@@ -226,7 +227,7 @@
     let (door, inbox) = dispatch::door();
     let (commands, commanded) = mpsc::channel(16);
     let speak = over_sessions.iter().cloned().collect();
-    tokio::spawn(nodes::run(commanded, door, bounds, 10, speak, Logger::root(Discard, o!())));
+    tokio::spawn(nodes::run(commanded, door, bounds, Places::new(10), speak, Logger::root(Discard, o!())));
     (commands, inbox)
 }
 
@@ -238,7 +239,7 @@
     pub platform: String,
     pub sessions: String,
     pub management: String,
-    pub stop: watch::Sender<bool>,
+    pub stop: watch::Sender<Course>,
     pub over: tokio::task::JoinHandle<()>,
     pub addresses: Vec<String>,
     nodes: Vec<Arc<Node>>,
@@ -286,9 +287,9 @@
         let core = Core::new(site.settings.clone(), 100, 7, clock.now(), log.clone());
         let (commands, commanded) = mpsc::channel(64);
         let speak = if over_sessions { addresses.iter().cloned().collect() } else { Default::default() };
-        tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, 100, speak, log.clone()));
+        tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, Places::new(100), speak, log.clone()));
         tokio::spawn(dispatch::run(core, clock, inbox, commands));
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(Course::Serving);
         let site = Arc::new(site);
         let options = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let options = Arc::new(Sessions::parse(options).unwrap());
@@ -304,12 +305,12 @@
             log.clone(),
         );
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        let front = listener::serve(listener, routes, 50, stopped.clone(), log.clone());
+        let front = listener::serve(listener, routes, Places::new(50), stopped.clone(), log.clone());
         let (calls, management) = bind().await;
         tokio::spawn(management::serve(calls, door.clone(), log.clone()));
         let (listener, platform) = bind().await;
         let routes = platform::routes(door.clone(), site, rooms, log.clone());
-        let thin = listener::serve(listener, routes, 50, stopped, log.clone());
+        let thin = listener::serve(listener, routes, Places::new(50), stopped, log.clone());
         let over = tokio::spawn(async move {
             tokio::join!(front, thin);
             shared.over().await;
@@ -389,7 +390,7 @@
     pub async fn drain(&self) {
         self.door.tell(Event::Drain).await;
         self.door.becomes(dispatch::Readiness::Draining).await;
-        self.stop.send(true).unwrap();
+        self.stop.send(Course::Ending).unwrap();
     }
 }
 
