Take settings whole at SIGHUP; classes keep their number while they mean the same

Seen in the log of retune, seed 3: at 9.05 s a file was taken whose class had a deadline of no sense, and with it a discovery address where nobody listens; from then on the list was not heard (drain broken at 16.44 s), and the new classes were unknown (all failed after 20 s). At fault: Config::parse asked only for the keys that it read, and reload followed nothing but discovery.

Sessions keep their records by the tenant's name, for its number may change.

--- a/src/api.rs
+++ b/src/api.rs
@@ -50,7 +50,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// The first token is wanted within this time.
     pub aim: Time,
@@ -62,6 +62,8 @@
     pub worth: f64,
     /// What a repeat would do.
     pub effect: Effect,
+    /// New requests may be of it; else only some that are under way are.
+    pub open: bool,
 }
 
 /// One tenant: what it may ask of all routers together.
@@ -240,6 +242,8 @@
         /// Its lines.
         entries: Vec<Entry>,
     },
+    /// What it was told at its start has changed. A class's number means what it meant while it is in use.
+    Settings(Settings),
     /// A call for the list failed, or the subscription broke.
     ListFailed,
     /// A client's request.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::bans::{Bans, Marks, Refusal};
 use crate::places::PARTS;
+use crate::settings::Site;
 use crate::Router;
 use bytes::Bytes;
 use slog::{debug, info, warn, Logger};
@@ -24,6 +25,8 @@
 const URGENT: usize = 16;
 /// The core looks over its table this often while there are requests in it.
 const SWEEP: Time = 20_000;
+/// The number of a class that is gone is used again after this at the earliest.
+const CLASS_QUIET: Time = 60_000_000;
 /// A state that nobody asks for is let go after this part (in tenths) of the time in which it must be ...
 const STRAY_TENTHS: Time = 4;
 /// ... and one that the module knows of, which lets it go sooner by itself, after this part.
@@ -146,6 +149,13 @@
         /// Whether that holds now.
         answer: oneshot::Sender<Result<(), Refusal>>,
     },
+    /// New settings. The snapshot that holds from now on goes to whoever watches it.
+    Settings {
+        /// As read, with numbers of its own.
+        site: Box<Site>,
+        /// Whether they were taken.
+        answer: oneshot::Sender<Result<(), String>>,
+    },
     /// Clients are taken from now on.
     Open,
     /// The part of its limits that this process keeps to, of [`PARTS`], and how many processes there are.
@@ -231,6 +241,7 @@
     events: mpsc::Sender<Event>,
     urgent: mpsc::Sender<Event>,
     marks: watch::Receiver<Marks>,
+    site: watch::Receiver<Arc<Site>>,
     next: Arc<AtomicU64>,
     readiness: watch::Receiver<Readiness>,
     open: watch::Receiver<usize>,
@@ -296,6 +307,18 @@
         let _ = self.urgent.send(event).await;
     }
 
+    /// Takes new settings. `None`: the core has ended.
+    pub async fn settings(&self, site: Site) -> Option<Result<(), String>> {
+        let (answer, answered) = oneshot::channel();
+        self.urgent.send(Event::Settings { site: Box::new(site), answer }).await.ok()?;
+        answered.await.ok()
+    }
+
+    /// The settings that hold now.
+    pub fn site(&self) -> Arc<Site> {
+        self.site.borrow().clone()
+    }
+
     /// What operators have said of replicas.
     pub fn marks(&self) -> watch::Receiver<Marks> {
         self.marks.clone()
@@ -331,6 +354,7 @@
 
 /// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
 struct Held {
+    class: usize,
     work: Work,
     once: bool, // it must not run twice
     answer: Option<oneshot::Sender<Answer>>,
@@ -371,11 +395,12 @@
 /// The state machine. Its caller gives it the time with each event and does what it commands.
 pub struct Core {
     router: Router,
-    unsafe_classes: Vec<bool>,
-    release_within: Time,
-    retry_after: Time,
+    site: Arc<Site>,
+    site_changed: bool,
+    retired: Vec<Time>, // when each class was last open
+    part: u32,
     most_held: usize,
-    whole_held: usize,
+    most_places: usize,
     processes: u32,
     held_back: bool,
     numbers: HashMap<Arc<str>, ServerId>,
@@ -394,16 +419,16 @@
 
 impl Core {
     /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
-    pub fn new(settings: api::Settings, most_held: usize, seed: u64, now: Time, log: Logger) -> Self {
-        let (release_within, retry_after) = (settings.release_within, settings.max_retry_after);
-        let unsafe_classes = settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
+    /// `most_places`: so many requests can be open at once.
+    pub fn new(site: Arc<Site>, most_places: usize, seed: u64, now: Time, log: Logger) -> Self {
         let mut core = Core {
-            router: Router::new(settings, seed, now),
-            unsafe_classes,
-            release_within,
-            retry_after,
-            most_held,
-            whole_held: most_held,
+            router: Router::new(site.settings.clone(), seed, now),
+            most_held: site.bounds.most_held.min(most_places),
+            retired: vec![now; site.settings.classes.len()],
+            site,
+            site_changed: true,
+            part: PARTS,
+            most_places,
             processes: 1,
             held_back: false,
             numbers: HashMap::new(),
@@ -461,11 +486,14 @@
                 self.bans_changed |= !changed.is_empty();
                 self.banned(now, &changed);
             }
+            Event::Settings { site, answer } => {
+                let taken = self.settings(now, *site);
+                let _ = answer.send(taken);
+            }
             Event::Open => self.held_back = false,
             Event::Share { part, processes } => {
-                let most = self.whole_held as u128 * u128::from(part) / u128::from(PARTS);
-                self.most_held = (most as usize).max(1);
-                self.processes = processes;
+                (self.part, self.processes) = (part, processes);
+                self.follow(now);
             }
             Event::Drain => self.draining = true,
         }
@@ -519,6 +547,37 @@
         }
     }
 
+    /// New settings: what follows from them is told to the module and to the fronts.
+    fn settings(&mut self, now: Time, site: Site) -> Result<(), String> {
+        let open: HashSet<usize> = self.requests.values().map(|held| held.class).collect();
+        for (class, at) in self.site.settings.classes.iter().zip(&mut self.retired) {
+            *at = if class.open { now } else { *at };
+        }
+        // What a front read by the old names may still be on its way.
+        let used = |at: usize| open.contains(&at) || now < self.retired[at].saturating_add(CLASS_QUIET);
+        let site = site.after(&self.site, used)?;
+        self.retired.resize(site.settings.classes.len(), now);
+        let names = site.settings.classes.iter().filter(|class| class.open).count();
+        info!(self.log, "new settings"; "classes" => names, "most_tries" => site.settings.max_attempts);
+        (self.site, self.site_changed) = (Arc::new(site), true);
+        self.follow(now);
+        Ok(())
+    }
+
+    /// The module's settings and the bound on what is held: another process is one more dispatcher to the servers.
+    fn follow(&mut self, now: Time) {
+        let whole = self.site.bounds.most_held.min(self.most_places) as u128;
+        self.most_held = ((whole * u128::from(self.part) / u128::from(PARTS)) as usize).max(1);
+        let mut settings = self.site.settings.clone();
+        settings.balancers = settings.balancers.saturating_mul(self.processes.max(1));
+        self.step(now, api::Event::Settings(settings));
+    }
+
+    /// The settings, where they are new since the last call.
+    pub fn new_site(&mut self) -> Option<Arc<Site>> {
+        std::mem::take(&mut self.site_changed).then(|| self.site.clone())
+    }
+
     fn request(&mut self, now: Time, ask: Ask, work: Work, answer: oneshot::Sender<Answer>) {
         let id = ask.id;
         // An id that is in flight is never a second request: nodes know requests by it alone.
@@ -529,14 +588,16 @@
         // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
         if self.requests.len() >= self.most_held {
             debug!(self.log, "refused: as much is held as may be"; "held" => self.requests.len());
-            let _ = answer.send(Answer::Refused(Duration::from_micros(self.retry_after)));
+            let _ = answer.send(Answer::Refused(Duration::from_micros(self.site.settings.max_retry_after)));
             return;
         }
         self.names.insert(work.name.clone());
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
             "expires_in" => ask.expires_in);
-        let once = self.unsafe_classes.get(ask.class).is_none_or(|it| *it);
+        let class = self.site.settings.classes.get(ask.class);
+        let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
         let held = Held {
+            class: ask.class,
             work,
             once,
             answer: Some(answer),
@@ -814,7 +875,8 @@
     fn settle(&mut self, now: Time, id: RequestId) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         let idle = now.saturating_sub(held.idle_since);
-        let limit = |tenths: Time| self.release_within * tenths / 10;
+        let release_within = self.site.settings.release_within;
+        let limit = |tenths: Time| release_within * tenths / 10;
         let late = held.stray && !held.known && idle >= limit(STRAY_TENTHS) || idle >= limit(KNOWN_TENTHS);
         // While an attempt waits for the state, nothing may let go of it; a stream needs it no more.
         let free = held.begun.is_some() || !held.out();
@@ -873,6 +935,7 @@
     events: mpsc::Receiver<Event>,
     urgent: mpsc::Receiver<Event>,
     marks: watch::Sender<Marks>,
+    site: watch::Sender<Arc<Site>>,
     readiness: watch::Sender<Readiness>,
     open: watch::Sender<usize>,
 }
@@ -893,17 +956,19 @@
 }
 
 /// Makes the queue of a core.
-pub fn door() -> (Door, Inbox) {
+pub fn door(site: Arc<Site>) -> (Door, Inbox) {
     let (events, queue) = mpsc::channel(QUEUE);
     let (urgent, urgent_queue) = mpsc::channel(URGENT);
+    let (set_site, site) = watch::channel(site);
     let (set_marks, marks) = watch::channel(Marks::new());
     let (set_readiness, readiness) = watch::channel(Readiness::Starting);
     let (set_open, open) = watch::channel(0);
-    let door = Door { events, urgent, marks, next: Arc::new(AtomicU64::new(1)), readiness, open };
+    let door = Door { events, urgent, marks, site, next: Arc::new(AtomicU64::new(1)), readiness, open };
     let inbox = Inbox {
         events: queue,
         urgent: urgent_queue,
         marks: set_marks,
+        site: set_site,
         readiness: set_readiness,
         open: set_open,
     };
@@ -939,6 +1004,9 @@
                 return;
             }
         }
+        if let Some(site) = core.new_site() {
+            inbox.site.send_replace(site);
+        }
         if let Some(marks) = core.new_marks() {
             inbox.marks.send_replace(marks);
         }
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -32,15 +32,14 @@
 #[derive(Clone)]
 pub struct Shared {
     door: Door,
-    site: Arc<Site>,
     rooms: Rooms,
     log: Logger,
 }
 
 /// The front's routes. `rooms` bounds the bodies that are held at once.
-pub fn routes(door: Door, site: Arc<Site>, rooms: Rooms, log: Logger) -> Router {
+pub fn routes(door: Door, rooms: Rooms, log: Logger) -> Router {
     let door_of_ready = door.clone();
-    let shared = Shared { door, site, rooms, log };
+    let shared = Shared { door, rooms, log };
     let ready = Router::new().route("/ready", get(ready)).with_state(door_of_ready);
     Router::new().route("/v1/chat/completions", post(complete)).with_state(shared).merge(ready)
 }
@@ -104,7 +103,8 @@
 async fn complete(State(shared): State<Shared>, request: Request) -> Response {
     let came = Instant::now();
     let (head, body) = request.into_parts();
-    let (name, mut ask) = match parse_head(&head.headers, &shared.site) {
+    let site = shared.door.site();
+    let (name, mut ask) = match parse_head(&head.headers, &site) {
         Ok(parsed) => parsed,
         Err(error) => {
             debug!(shared.log, "a bad request"; "error" => &error);
@@ -118,7 +118,7 @@
     let until = came + BODY_TIME;
     // Nothing was done for a request that finds no room: it may come again.
     let Ok(Some(room)) = timeout_at(until, shared.rooms.wait(length as usize)).await else {
-        return refused(Duration::from_micros(shared.site.settings.max_retry_after));
+        return refused(Duration::from_micros(site.settings.max_retry_after));
     };
     let body = match timeout_at(until, Limited::new(body, MOST_BODY).collect()).await {
         Ok(Ok(body)) => room.keep(body.to_bytes()),
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -4,7 +4,7 @@
 //! sent again, keeps the first deadline and is answered from the record. The record is bounded, and it is this
 //! dispatcher's own: another one does not know it. The messages are described in `docs/websocket.md`.
 
-use crate::api::{Ask, Effect};
+use crate::api::{Ask, Class, Effect};
 use crate::dispatch::{Answer, Door, Piece, Work};
 use crate::fronts::names::{is_name, key};
 use crate::fronts::room::{Rooms, MOST_BODY};
@@ -137,7 +137,7 @@
     stage: Stage,
 }
 
-type Key = (Option<usize>, String);
+type Key = (Option<String>, String);
 
 /// What is known of ids, oldest first out.
 #[derive(Default)]
@@ -203,7 +203,6 @@
 #[derive(Clone)]
 pub struct Shared {
     door: Door,
-    site: Arc<Site>,
     options: Arc<Sessions>,
     rooms: Rooms,
     records: Arc<Mutex<Records>>,
@@ -218,12 +217,11 @@
 impl Shared {
     /// What sessions share. `seed` makes the names under which nodes know requests differ between starts.
     pub fn new(
-        door: Door, site: Arc<Site>, options: Arc<Sessions>, rooms: Rooms, seed: u64,
-        stop: watch::Receiver<Course>, log: Logger,
+        door: Door, options: Arc<Sessions>, rooms: Rooms, seed: u64, stop: watch::Receiver<Course>,
+        log: Logger,
     ) -> Self {
         Shared {
             door,
-            site,
             rooms,
             records: Arc::default(),
             places: Arc::new(Semaphore::new(options.most_sessions)),
@@ -398,7 +396,8 @@
     shared: &Shared, text_said: &str, outgoing: &Outgoing, places: &Arc<Semaphore>,
     cancels: &mut HashMap<String, mpsc::Sender<()>>, stopping: bool,
 ) -> Option<Message> {
-    let (id, ask, body) = match parse(text_said, &shared.site) {
+    let site = shared.door.site();
+    let (id, ask, body) = match parse(text_said, &site) {
         Ok(Call::Request(id, ask, body)) => (id, ask, body),
         Ok(Call::Cancel(id)) => {
             if let Some(cancel) = cancels.remove(&id) {
@@ -411,7 +410,8 @@
             return Some(text(format!("{{\"type\":\"error\",\"reason\":{}}}", json::to_string(&reason))));
         }
     };
-    let key: Key = (ask.tenant, id);
+    // By name: a tenant's number may be another's when settings change.
+    let key: Key = (ask.tenant.map(|tenant| site.tenants.name(tenant as u32).to_owned()), id);
     let now = Instant::now();
     let mut records = shared.records();
     let deadline = match records.by_key.get(&key) {
@@ -462,6 +462,7 @@
     let conversation = Conversation {
         shared: shared.clone(),
         key,
+        class: site.settings.classes[ask.class].clone(),
         ask,
         body,
         deadline,
@@ -479,6 +480,7 @@
 struct Conversation {
     shared: Shared,
     key: Key,
+    class: Class,
     ask: Ask,
     body: Bytes,
     deadline: Instant,
@@ -500,7 +502,7 @@
     async fn run(mut self, place: OwnedSemaphorePermit) {
         loop {
             let tried = self.attempt().await;
-            let safe = self.shared.site.settings.classes[self.ask.class].effect == Effect::Safe;
+            let safe = self.class.effect == Effect::Safe;
             let outcome = match tried {
                 Tried::Final(outcome) => outcome,
                 // What may have run is never sent again, unless its class allows a repeat.
@@ -549,6 +551,11 @@
     async fn attempt(&mut self) -> Tried {
         let shared = self.shared.clone();
         let reattach = Duration::from_millis(shared.options.reattach_ms);
+        // A request that waited for its terminal may find its class's number given to another.
+        let class = shared.door.site().settings.classes.get(self.ask.class).cloned();
+        if class.is_none_or(|class| Class { open: true, ..class } != self.class) {
+            return Tried::Final(Outcome::Failed("its class is gone"));
+        }
         let number = shared.names.fetch_add(1, Ordering::Relaxed);
         let name = format!("ws-{:016x}-{number}", shared.boot);
         let left = self.deadline.saturating_duration_since(Instant::now());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //!     aim_per_1000_tokens: 40_000,
 //!     token_aim: 60_000,
 //!     worth: 1.0,
+//!     open: true,
 //!     effect: Effect::Safe,
 //! };
 //! let settings = Settings {
@@ -86,5 +87,6 @@
 pub mod places;
 pub mod reload;
 pub mod settings;
+pub mod strict;
 
 pub use logic::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -292,6 +292,7 @@
         self.now = now.max(self.now);
         match event {
             Event::Members { complete, entries } => self.members(complete, entries),
+            Event::Settings(settings) => self.changed(settings),
             Event::ListFailed => self.watching = false,
             Event::Request(ask) => self.arrive(ask),
             Event::First { id, attempt } => self.with(id, |it, request| it.first(request, attempt as usize)),
@@ -364,6 +365,24 @@
         }
     }
 
+    /// New settings; what was learned stays. Requests under way have their class by its number.
+    fn changed(&mut self, settings: Settings) {
+        self.share = f64::from(settings.balancers.max(1));
+        self.pause = settings
+            .classes
+            .iter()
+            .filter(|it| it.open && it.aim > 0)
+            .map(|it| it.aim)
+            .min()
+            .unwrap_or(REFIT);
+        self.home_match.resize(settings.classes.len(), HOME_MATCH);
+        let old = |at: usize| self.quota.get(at).map_or((QUOTA_BURST, self.now), |it| (it.1, it.2));
+        let tenants = settings.tenants.iter().enumerate();
+        let quota = tenants.map(|(at, it)| (it.quota_per_s / self.share, old(at).0, old(at).1));
+        self.quota = quota.collect();
+        self.settings = settings;
+    }
+
     fn told_load(&mut self, id: ServerId, load: Option<Load>) {
         let (Some(server), Some(load)) = (self.servers.get_mut(&id), load) else { return };
         server.told =
@@ -635,7 +654,8 @@
             self.usual += (1.0 - FORGET) * (wait - self.usual);
             return false;
         }
-        let lowest = self.settings.classes.iter().map(|class| class.worth).fold(f64::MAX, f64::min);
+        let open = self.settings.classes.iter().filter(|class| class.open);
+        let lowest = open.map(|class| class.worth).fold(f64::MAX, f64::min);
         wait > self.usual + ABOVE_USUAL * request.aim && (request.worth <= lowest || chance < HOPELESS)
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -75,12 +75,13 @@
     std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
 }
 
-fn read(config: &Path, websocket: Option<&Path>) -> Result<(Config, Site, Sessions), String> {
-    let config = Config::parse(&text(config)?)?;
+fn read(config: &Path, websocket: Option<&Path>) -> Result<(String, Config, Site, Sessions), String> {
+    let whole = text(config)?;
+    let config = Config::parse(&whole)?;
     let site = Site::new(&config.settings)?;
     let off = || Ok("{}".to_owned());
     let sessions = Sessions::parse(&websocket.map_or_else(off, text)?)?;
-    Ok((config, site, sessions))
+    Ok((whole, config, site, sessions))
 }
 
 async fn listen(address: &str) -> Result<TcpListener, String> {
@@ -134,7 +135,8 @@
 }
 
 async fn serve(
-    file: PathBuf, config: Config, site: Site, sessions: Sessions, management: Option<String>, log: Logger,
+    (file, text): (PathBuf, String), config: Config, site: Site, sessions: Sessions,
+    management: Option<String>, log: Logger,
 ) -> Result<(), String> {
     // Signals come first: one that came before its handler would end the program.
     let hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
@@ -167,11 +169,11 @@
     let for_sessions = session_listener.as_ref().map_or(0, |_| sessions.most_sessions + shaking);
 
     let clock = Clock::start();
-    let (door, inbox) = dispatch::door();
+    let site = Arc::new(site);
+    let (door, inbox) = dispatch::door(site.clone());
     let mut handover = inherited.is_some().then(|| post(&config.name, clock, &log)).flatten();
     let view = handover.as_ref().map_or(View::default(), Handover::view);
-    let most_held = site.bounds.most_held.min(node_sockets);
-    let mut core = Core::new(site.settings.clone(), most_held, seed, clock.now(), log.clone());
+    let mut core = Core::new(site.clone(), node_sockets, seed, clock.now(), log.clone());
     if let Some(marks) = handover.as_mut().and_then(Handover::new_bans) {
         core.hear(clock.now(), Event::Marks(marks));
     }
@@ -204,7 +206,7 @@
     vital.spawn(dispatch::run(core, clock, inbox, commands));
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
-    vital.spawn(reload::run(file, hangup, set_discovery, log.clone()));
+    vital.spawn(reload::run(file, text, hangup, door.clone(), set_discovery, log.clone()));
     if let Some(at) = management_listener {
         // Operators are answered to the very end.
         vital.spawn(management::serve(at, door.clone(), log.clone()));
@@ -216,13 +218,11 @@
     }
 
     let (set_course, course) = watch::channel(Course::Serving);
-    let site = Arc::new(site);
-    let routes = platform::routes(door.clone(), site.clone(), rooms.clone(), log.clone());
+    let routes = platform::routes(door.clone(), rooms.clone(), log.clone());
     let most = clients.whole();
     let mut fronts = JoinSet::new();
     let options = Arc::new(sessions);
-    let shared =
-        websocket::Shared::new(door.clone(), site, options, rooms, seed, course.clone(), log.clone());
+    let shared = websocket::Shared::new(door.clone(), options, rooms, seed, course.clone(), log.clone());
     if let Some(at) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
         fronts.spawn(listener::serve(at, routes, Places::new(shaking), course.clone(), log.clone()));
@@ -230,7 +230,7 @@
     if let Some(at) = agent_listener {
         fronts.spawn(health::serve_agent(at, door.clone(), course.clone(), log.clone()));
     }
-    info!(log, "serving"; "name" => config.name, "listen" => config.listen, "most_held" => most_held,
+    info!(log, "serving"; "name" => config.name, "listen" => config.listen, "most_held" => site.bounds.most_held.min(node_sockets),
         "from_clients" => most, "to_nodes" => node_sockets);
 
     let work = async {
@@ -285,7 +285,7 @@
             Ok(())
         }
         Task::Check { config, websocket } => {
-            let (config, site, sessions) = read(&config, websocket.as_deref())?;
+            let (_, config, site, sessions) = read(&config, websocket.as_deref())?;
             let (classes, tenants) = (site.settings.classes.len(), site.settings.tenants.len());
             let known = config.known.map_or(0, |known| known.members.len());
             println!("{}: {classes} classes, {tenants} tenants, {known} known members", config.name);
@@ -295,11 +295,11 @@
         }
         Task::Serve { config, websocket, management, log } => {
             let file = config;
-            let (config, site, sessions) = read(&file, websocket.as_deref())?;
+            let (text, config, site, sessions) = read(&file, websocket.as_deref())?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
             let (log, _guard) = logger(log);
-            runtime.block_on(serve(file, config, site, sessions, management, log))
+            runtime.block_on(serve((file, text), config, site, sessions, management, log))
         }
     }
 }
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -1,8 +1,9 @@
 //! The configuration file, read again at SIGHUP while the dispatcher serves.
 //!
-//! Only `discovery` is followed. All else was settled at the start: listeners, limits and settings bind tables
-//! and connections that are in use, and stay as they are until a restart.
+//! A file is taken whole or not at all: it has to have all that the running one has. Its `settings` go to the core,
+//! and `discovery` is followed. Listeners, limits, zone and kinds of machines hold until a restart.
 
+use crate::dispatch::Door;
 use crate::settings::{Config, Site};
 use slog::{info, warn, Logger};
 use std::path::{Path, PathBuf};
@@ -13,40 +14,53 @@
 
 /// A file that can't be used, because it is half-written as like as not, is read again after this ...
 const AGAIN: Duration = Duration::from_millis(100);
-/// ... and less and less often while it stays so, down to once in this.
+/// ... and less and less often while it stays so, down to once in this ...
 const SELDOM: Duration = Duration::from_secs(1);
+/// ... and so often in all; then it is left until the next SIGHUP.
+const READINGS: usize = 10;
 
-fn read(file: &Path) -> Result<Config, String> {
+/// Reads the file and has it taken; its text is the running one then.
+async fn take(
+    file: &Path, running: &str, door: &Door, discovery: &watch::Sender<String>,
+) -> Result<String, String> {
     let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
-    let config = Config::parse(&text)?;
-    // Settings that make no sense tell of a file that is not what its writer meant.
-    Site::new(&config.settings)?;
-    Ok(config)
+    let config = Config::parse_next(running, &text)?;
+    let site = Site::new(&config.settings)?;
+    door.settings(site).await.ok_or("the dispatcher ends")??;
+    discovery.send_if_modified(|old| {
+        let new = config.discovery != *old;
+        *old = config.discovery;
+        new
+    });
+    Ok(text)
 }
 
-/// Tells the address of discovery anew after each SIGHUP. A bad file is logged in one line, the old address
-/// holds, and the file is read again shortly.
-pub async fn run(file: PathBuf, mut hangup: Signal, discovery: watch::Sender<String>, log: Logger) {
+/// Takes the file after each SIGHUP. A bad one is logged in one line and nothing of it is taken; it is read again
+/// shortly, and at once when the next SIGHUP comes.
+pub async fn run(
+    file: PathBuf, mut running: String, mut hangup: Signal, door: Door, discovery: watch::Sender<String>,
+    log: Logger,
+) {
     while hangup.recv().await.is_some() {
-        let mut pause = AGAIN;
-        let mut logged = false;
-        let config = loop {
-            match read(&file) {
-                Ok(config) => break config,
-                Err(error) if !logged => {
-                    warn!(log, "the configuration can't be used: the old one holds"; "error" => error);
-                    logged = true;
+        let (mut pause, mut left, mut logged) = (AGAIN, READINGS, String::new());
+        while left > 0 {
+            match take(&file, &running, &door, &discovery).await {
+                Ok(text) => {
+                    info!(log, "the configuration was read again"; "discovery" => discovery.borrow().clone());
+                    running = text;
+                    break;
+                }
+                Err(error) if error != logged => {
+                    warn!(log, "the configuration can't be used: the old one holds"; "error" => &error);
+                    logged = error;
                 }
                 Err(_) => {}
             }
-            sleep(pause).await;
-            pause = (pause * 2).min(SELDOM);
-        };
-        info!(log, "the configuration was read again"; "discovery" => &config.discovery);
-        discovery.send_if_modified(|old| {
-            let new = config.discovery != *old;
-            *old = config.discovery;
-            new
-        });
+            tokio::select! {
+                biased;
+                Some(()) = hangup.recv() => (pause, left, logged) = (AGAIN, READINGS, String::new()),
+                () = sleep(pause) => (pause, left) = ((pause * 2).min(SELDOM), left - 1),
+            }
+        }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,11 +4,13 @@
 //! known is an error, for a guess would decide something.
 
 use crate::api::*;
-use miniserde::{json, Deserialize};
-use std::collections::HashMap;
+use crate::strict;
+use miniserde::json::{self, Value};
+use miniserde::Deserialize;
+use std::collections::{HashMap, HashSet};
 
 /// The settings object, as it comes.
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 pub struct Profile {
     balancers: Option<u32>,
     classes: Option<Vec<ClassLine>>,
@@ -26,7 +28,7 @@
     zone: Option<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone)]
 struct ClassLine {
     name: String,
     aim: Option<f64>,
@@ -36,18 +38,18 @@
     worth: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone)]
 struct TenantLine {
     name: String,
     quota_per_s: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 struct Deductions {
     cross_zone: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 struct Family {
     aim_us_per_1000_prompt_tokens: Option<Vec<f64>>,
     move_fee: Option<f64>,
@@ -57,7 +59,7 @@
     tokens_by_kind: Option<Vec<f64>>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 struct Limits {
     cancel: Option<bool>,
     conn_idle: Option<f64>,
@@ -70,12 +72,12 @@
     second_copies: Option<bool>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 struct Reporting {
     via: Option<String>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Clone, Default)]
 struct Rules {
     answer_slack: Option<f64>,
     cold_from: Option<f64>,
@@ -86,7 +88,7 @@
 }
 
 /// Names and numbers of one sort, in the order in which they were met.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     by_name: HashMap<String, u32>,
     names: Vec<String>,
@@ -112,6 +114,18 @@
         number
     }
 
+    /// Names with numbers of their own.
+    fn numbered<'a>(pairs: impl Iterator<Item = (&'a String, u32)>) -> Self {
+        let mut all = Names::default();
+        for (name, number) in pairs {
+            let at = number as usize;
+            all.names.resize(all.names.len().max(at + 1), String::new());
+            all.names[at] = name.clone();
+            all.by_name.insert(name.clone(), number);
+        }
+        all
+    }
+
     /// The number of a name that was met before.
     pub fn known(&self, name: &str) -> Option<u32> {
         self.by_name.get(name).copied()
@@ -175,7 +189,11 @@
     pub most_held: usize,
 }
 
+/// So many classes may be known at once, those that are gone and have requests open among them.
+const MOST_CLASSES: usize = 256;
+
 /// A deployment: the module's settings, its bounds, and the numbers for its names.
+#[derive(Clone, Debug)]
 pub struct Site {
     /// What the module is told.
     pub settings: Settings,
@@ -210,6 +228,7 @@
                 token_aim: span(at(&family.token_aim, number)),
                 worth: class.worth.unwrap_or(0.0),
                 effect: effect(class)?,
+                open: true,
             })
         };
         let tenant = |tenant: &TenantLine| Tenant { quota_per_s: tenant.quota_per_s.unwrap_or(0.0) };
@@ -258,6 +277,39 @@
         })
     }
 
+    /// What holds after this one was read while `old` held. A class that means the same keeps its number; any other one
+    /// gets a number that is not `used`. Zone, kinds, roles and memory hold until a restart.
+    pub fn after(mut self, old: &Site, used: impl Fn(usize) -> bool) -> Result<Site, String> {
+        let mut classes: Vec<Class> = old.settings.classes.clone();
+        classes.iter_mut().for_each(|class| class.open = false);
+        let mut numbers = Vec::new();
+        for (name, class) in self.classes.names.iter().zip(&self.settings.classes) {
+            let same = old.classes.known(name).filter(|at| old.settings.classes[*at as usize] == *class);
+            let number = match same {
+                Some(number) => number as usize,
+                None => {
+                    let free =
+                        |at: &usize| !classes[*at].open && !used(*at) && !old.settings.classes[*at].open;
+                    (0..old.settings.classes.len()).find(free).unwrap_or(classes.len())
+                }
+            };
+            if number >= MOST_CLASSES {
+                return Err("too many classes have come and gone while requests of theirs are open".into());
+            }
+            match classes.get_mut(number) {
+                Some(there) => *there = class.clone(),
+                None => classes.push(class.clone()),
+            }
+            numbers.push(number as u32);
+        }
+        self.classes = Names::numbered(self.classes.names.iter().zip(numbers));
+        self.settings.classes = classes;
+        self.settings.zone = old.settings.zone;
+        (self.zones, self.kinds) = (old.zones.clone(), old.kinds.clone());
+        (self.roles, self.memory) = (old.roles.clone(), old.memory.clone());
+        Ok(self)
+    }
+
     /// One server of a list, by the names of its kind and zone. The caller numbers servers.
     pub fn entry(&mut self, server: ServerId, name: &str, kind: Option<&str>) -> Result<Entry, String> {
         let number = kind.map_or(Some(0), |kind| self.kinds.known(kind));
@@ -329,7 +381,7 @@
 }
 
 /// The configuration file of a real dispatcher.
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone)]
 pub struct Config {
     /// The dispatcher's name.
     pub name: String,
@@ -352,12 +404,34 @@
 impl Config {
     /// Reads a configuration; the error is one line.
     pub fn parse(text: &str) -> Result<Config, String> {
-        let config: Config = json::from_str(text)
-            .map_err(|_| "the configuration is not the JSON object that is expected".to_owned())?;
+        let wrong = |_| "the configuration is not the JSON object that is expected".to_owned();
+        let config: Config = json::from_str(text).map_err(wrong)?;
+        let value: Value = json::from_str(text).map_err(wrong)?;
+        strict::check_values("the configuration", &value)?;
+        let classes = config.settings.classes.as_deref().unwrap_or_default();
+        let limits = config.settings.limits.as_ref();
+        if classes.is_empty() || classes.iter().any(|class| class.aim.is_none()) {
+            return Err("the settings name no classes, or one without an aim".into());
+        }
+        if limits.is_none_or(|limits| limits.most_tries.is_none()) {
+            return Err("the settings lack limits.most_tries".into());
+        }
+        let names: HashSet<&String> = classes.iter().map(|class| &class.name).collect();
+        if names.len() < classes.len() {
+            return Err("the settings name a class twice".into());
+        }
         let address = config.discovery.parse::<std::net::SocketAddr>();
         address.map_err(|_| format!("discovery is no address: {:?}", config.discovery))?;
         Ok(config)
     }
+
+    /// Reads what is to follow the running configuration, and is taken whole or not at all.
+    pub fn parse_next(running: &str, text: &str) -> Result<Config, String> {
+        let config = Config::parse(text)?;
+        let value = |text| json::from_str::<Value>(text).map_err(|_| "not JSON".to_owned());
+        strict::complete("the configuration", &value(running)?, &value(text)?)?;
+        Ok(config)
+    }
 }
 
 /// The session file, as it comes: `deploy/websocket.json`.
--- /dev/null
+++ b/src/strict.rs
@@ -0,0 +1,153 @@
+//! Whether a new configuration is whole: nothing of one that is not is taken. Pure.
+
+use miniserde::json::{Number, Value};
+
+/// Keys that may be absent though the running configuration has them: the list of members is only for the start, and
+/// not each class need stretch its aim.
+const MAY_LACK: [&str; 2] = ["known", "aim_stretch"];
+/// Numbers that must be positive, wherever they stand: with none of it nothing could be served.
+const POSITIVE: [&str; 4] = ["aim", "deadline", "most_tries", "tick"];
+/// Numbers that are counts.
+const COUNTS: [&str; 2] = ["most_tries", "balancers"];
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a truth value",
+        Value::Number(_) => "a number",
+        Value::String(_) => "text",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    }
+}
+
+fn number(number: &Number) -> f64 {
+    match number {
+        Number::U64(number) => *number as f64,
+        Number::I64(number) => *number as f64,
+        Number::F64(number) => *number,
+    }
+}
+
+fn check_number(path: &str, key: &str, value: f64) -> Result<(), String> {
+    if !value.is_finite() || value < 0.0 {
+        return Err(format!("{path} is no number from 0 on"));
+    }
+    if POSITIVE.contains(&key) && value <= 0.0 {
+        return Err(format!("{path} is not positive"));
+    }
+    if COUNTS.contains(&key) && value.fract() != 0.0 {
+        return Err(format!("{path} is no whole number"));
+    }
+    Ok(())
+}
+
+/// Numbers that make no sense; the error names the first one.
+pub fn check_values(path: &str, value: &Value) -> Result<(), String> {
+    let key = path.rsplit('.').next().unwrap_or(path);
+    match value {
+        Value::Number(it) => check_number(path, key, number(it)),
+        Value::Array(list) => {
+            list.iter().enumerate().try_for_each(|(at, it)| check_values(&format!("{path}[{at}]"), it))
+        }
+        Value::Object(object) => {
+            object.iter().try_for_each(|(key, it)| check_values(&format!("{path}.{key}"), it))
+        }
+        Value::Null | Value::Bool(_) | Value::String(_) => Ok(()),
+    }
+}
+
+/// Whether the new value has all that the running one has, of the same types; the error names the first lack. Lists
+/// may have other lengths, but what all of the running one's members have, each of the new one's must.
+pub fn complete(path: &str, running: &Value, new: &Value) -> Result<(), String> {
+    match (running, new) {
+        (Value::Object(running), Value::Object(new)) => {
+            for (key, running) in running.iter().filter(|(key, _)| !MAY_LACK.contains(&key.as_str())) {
+                let path = format!("{path}.{key}");
+                let new = new.get(key).ok_or_else(|| format!("{path} is missing"))?;
+                complete(&path, running, new)?;
+            }
+            Ok(())
+        }
+        (Value::Array(running), Value::Array(new)) => {
+            let Some(common) = running.iter().cloned().reduce(common) else { return Ok(()) };
+            let path = |at| format!("{path}[{at}]");
+            new.iter().enumerate().try_for_each(|(at, new)| complete(&path(at), &common, new))
+        }
+        // Nothing stood there.
+        (Value::Null, _) => Ok(()),
+        (running, new) if kind(running) == kind(new) => Ok(()),
+        (running, _) => Err(format!("{path} is not {}", kind(running))),
+    }
+}
+
+/// What two values have in common: the keys of both.
+fn common(one: Value, other: Value) -> Value {
+    match (one, other) {
+        (Value::Object(one), Value::Object(other)) => {
+            let keys = one.into_iter().filter_map(|(key, one)| {
+                let other = other.get(&key)?.clone();
+                Some((key, common(one, other)))
+            });
+            Value::Object(keys.collect())
+        }
+        (one, other) if kind(&one) == kind(&other) => one,
+        _ => Value::Null,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use miniserde::json;
+
+    fn value(text: &str) -> Value {
+        json::from_str(text).unwrap()
+    }
+
+    const RUNNING: &str = r#"{"name":"n","known":{"revision":1},"settings":{"limits":{"most_tries":5,"cancel":true},
+        "classes":[{"name":"a","aim":1.5,"deadline":7,"aim_stretch":1},{"name":"b","aim":2,"deadline":9,"extra":1}]}}"#;
+
+    fn check(new: &str) -> Result<(), String> {
+        let new = value(new);
+        check_values("the configuration", &new)?;
+        complete("the configuration", &value(RUNNING), &new)
+    }
+
+    #[test]
+    fn what_is_whole_is_taken() {
+        assert_eq!(check(RUNNING), Ok(()));
+        // Another number of classes, another count, one more key, no list of members.
+        let new = r#"{"name":"n","settings":{"limits":{"most_tries":1,"cancel":false,"more":[]},
+            "classes":[{"name":"c","aim":1,"deadline":4}]}}"#;
+        assert_eq!(check(new), Ok(()));
+    }
+
+    #[test]
+    fn what_lacks_a_key_or_has_no_sense_is_not() {
+        for (from, to, says) in [
+            (r#""name":"n","#, "", "name is missing"),
+            (r#""most_tries":5,"#, "", "settings.limits.most_tries is missing"),
+            (r#""most_tries":5"#, r#""most_tries":0"#, "most_tries is not positive"),
+            (r#""most_tries":5"#, r#""most_tries":-1"#, "most_tries is no number from 0 on"),
+            (r#""most_tries":5"#, r#""most_tries":2.5"#, "most_tries is no whole number"),
+            (r#""most_tries":5"#, r#""most_tries":"5""#, "most_tries is not a number"),
+            (r#""most_tries":5"#, r#""most_tries":null"#, "most_tries is not a number"),
+            (r#""deadline":9"#, r#""deadline":0"#, "classes[1].deadline is not positive"),
+            (r#""deadline":9,"#, "", "classes[1].deadline is missing"),
+            (r#""deadline":9"#, r#""deadline":-9"#, "classes[1].deadline is no number from 0 on"),
+            (r#""deadline":9"#, r#""deadline":1e999"#, "deadline is no number"),
+            (r#""deadline":9"#, r#""deadline":"soon""#, "classes[1].deadline is not a number"),
+            (r#""cancel":true"#, r#""cancel":1"#, "limits.cancel is not a truth value"),
+        ] {
+            let new = RUNNING.replace(from, to);
+            assert_ne!(new, RUNNING);
+            let Ok(new) = json::from_str::<Value>(&new) else { continue };
+            let told = check_values("it", &new).and_then(|()| complete("it", &value(RUNNING), &new));
+            assert!(told.as_ref().is_err_and(|it| it.contains(says)), "{says}: {told:?}");
+        }
+        let empty = value(r#"{"name":"n","settings":{}}"#);
+        assert!(complete("it", &value(RUNNING), &empty).is_err());
+        assert!(complete("it", &value(RUNNING), &value("[]")).is_err());
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,7 @@
 pub const SECOND: Time = 1_000_000;
 
 pub fn class(worth: f64, effect: Effect) -> Class {
-    Class { aim: SECOND, aim_per_1000_tokens: 40 * MS, token_aim: 60 * MS, worth, effect }
+    Class { aim: SECOND, aim_per_1000_tokens: 40 * MS, token_aim: 60 * MS, worth, effect, open: true }
 }
 
 pub fn settings(classes: Vec<Class>) -> Settings {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -5,6 +5,7 @@
 use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
 use quartzhall::settings::{Profile, Site};
 use slog::{o, Discard, Logger};
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 #[path = "stand/profile.rs"]
@@ -25,12 +26,16 @@
     Member { name: name.into(), address: format!("127.0.0.1:{}", 7000 + name.len()).into(), entry }
 }
 
+fn site(profile: &str) -> Site {
+    let profile: Profile = miniserde::json::from_str(profile).unwrap();
+    Site::new(&profile).unwrap()
+}
+
 impl Bench {
     fn new(most_held: usize) -> Bench {
-        let profile: Profile = miniserde::json::from_str(profile::PROFILE).unwrap();
-        let settings = Site::new(&profile).unwrap().settings;
+        let site = Arc::new(site(profile::PROFILE));
         let log = Logger::root(Discard, o!());
-        let core = Core::new(settings, most_held, 7, START, log);
+        let core = Core::new(site, most_held, 7, START, log);
         let mut bench = Bench { core, now: START, commands: Vec::new() };
         assert_eq!(bench.core.readiness(), Readiness::Starting);
         let members = vec![member("r", Role::Reader, State::Ready), member("ww", Role::Writer, State::Ready)];
@@ -247,14 +252,13 @@
 /// A full queue loses nothing: a client that leaves then is told of all the same.
 #[tokio::test]
 async fn a_full_queue_drops_nothing() {
-    let (door, inbox) = dispatch::door();
+    let site = Arc::new(site(profile::PROFILE));
+    let (door, inbox) = dispatch::door(site.clone());
     for _ in 0..10_000 {
         door.post(Event::ListFailed);
     }
-    let profile: Profile = miniserde::json::from_str(profile::PROFILE).unwrap();
-    let settings = Site::new(&profile).unwrap().settings;
     let clock = dispatch::Clock::start();
-    let core = Core::new(settings, 10, 7, clock.now(), Logger::root(Discard, o!()));
+    let core = Core::new(site, 10, 7, clock.now(), Logger::root(Discard, o!()));
     door.post(Event::Drain);
     let (commands, _commanded) = mpsc::channel(16);
     tokio::spawn(dispatch::run(core, clock, inbox, commands));
@@ -386,3 +390,81 @@
     bench.hear(Event::Marks(other.core.new_marks().unwrap()));
     assert_eq!(bench.core.readiness(), Readiness::Ready);
 }
+
+impl Bench {
+    fn settings(&mut self, profile: &str) -> Result<(), String> {
+        let (answer, mut answered) = oneshot::channel();
+        self.hear(Event::Settings { site: Box::new(site(profile)), answer });
+        answered.try_recv().unwrap()
+    }
+}
+
+const STRICTER: (&str, &str) = (r#""aim":1500.0,"repeat":"free""#, r#""aim":1500.0,"repeat":"single_shot""#);
+
+/// What is under way keeps the effect with which it came, and what comes later has the new one.
+#[test]
+fn requests_under_way_keep_their_class() {
+    let mut bench = Bench::new(10);
+    assert!(bench.core.new_site().is_some() && bench.core.new_site().is_none());
+    let mut safe = bench.ask(1, 0, "before");
+    bench.ended(1, 0, Status::Read);
+    bench.settings(&profile::PROFILE.replace(STRICTER.0, STRICTER.1)).unwrap();
+    let site = bench.core.new_site().unwrap();
+    let number = site.classes.known("status-query").unwrap() as usize;
+    assert_ne!(number, 0, "another meaning has another number");
+    assert_eq!(site.classes.known("return-request"), Some(1));
+    let mut unsafe_now = bench.ask(2, number, "after");
+    bench.ended(2, 0, Status::Read);
+    // A write that may have run: the old request may be tried again, the new one is given up.
+    bench.ended(1, 1, Status::Error);
+    bench.ended(2, 1, Status::Error);
+    assert!(safe.try_recv().is_err());
+    assert!(matches!(unsafe_now.try_recv(), Ok(Answer::Failed)));
+}
+
+/// Fewer attempts bind what is not yet sent, also of requests under way.
+#[test]
+fn fewer_attempts_bind_at_once() {
+    let mut bench = Bench::new(10);
+    let mut answered = bench.ask(1, 0, "a");
+    bench.ended(1, 0, Status::Read);
+    assert_eq!(bench.sends(), 2);
+    bench.settings(&profile::PROFILE.replace(r#""most_tries":5"#, r#""most_tries":2"#)).unwrap();
+    bench.ended(1, 1, Status::Error);
+    bench.pass(100 * MS);
+    assert_eq!(bench.sends(), 2);
+    assert!(matches!(answered.try_recv(), Ok(Answer::Refused(_) | Answer::Failed)));
+}
+
+/// The number of a class that is gone is another's only when its requests are over and a minute has passed; so the
+/// table is bounded however often settings change.
+#[test]
+fn numbers_of_classes_are_used_again_in_time() {
+    let mut bench = Bench::new(10);
+    let mut largest = 0;
+    let _first = bench.ask(1, 0, "long");
+    let (_pieces, stream) = mpsc::channel(4);
+    bench.ended(1, 0, Status::Read);
+    bench.hear(Event::First { id: 1, attempt: 1, stream });
+    for round in 0..300 {
+        let aim = format!(r#""aim":{}.0,"repeat":"free""#, 1000 + round);
+        bench.settings(&profile::PROFILE.replace(STRICTER.0, &aim)).unwrap();
+        let site = bench.core.new_site().unwrap();
+        largest = largest.max(site.classes.known("status-query").unwrap());
+        assert_ne!(site.classes.known("status-query"), Some(0), "a request of it is open");
+        bench.pass(10_000 * MS);
+    }
+    assert!(largest < 12, "{largest}");
+    // Without the time between, the bound turns the change down, and what held goes on holding.
+    let mut taken = 0;
+    while bench
+        .settings(&profile::PROFILE.replace(STRICTER.0, &format!(r#""aim":{taken}.5,"repeat":"free""#)))
+        .is_ok()
+    {
+        taken += 1;
+    }
+    assert!((200..260).contains(&taken), "{taken}");
+    let aim = bench.core.new_site().unwrap();
+    let number = aim.classes.known("status-query").unwrap() as usize;
+    assert_eq!(aim.settings.classes[number].aim, (taken - 1) * 1000 + 500);
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -227,3 +227,64 @@
     drop(lines);
     assert_eq!(end(running).await.code(), Some(0));
 }
+
+/// A file from which nothing may be taken: its discovery is not asked, its classes are not known.
+#[tokio::test]
+async fn of_a_broken_file_nothing_is_taken_at_sighup() {
+    let both = r#"{"id":"r","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","phase":"Ready"},
+        {"id":"w","host_port":"127.0.0.1:2","locality":"east","flavor":"decode","phase":"Ready"}"#;
+    let (first, _) = discovery_with(1, both).await;
+    let (second, asked) = discovery_with(2, both).await;
+    let listen = free_address().await;
+    let good = config(&listen, &first, "null");
+    let file = File::new("broken", &good);
+    let mut command = Command::new(PROGRAM);
+    command.args(["serve", "--config"]).arg(&file.0).stderr(Stdio::piped());
+    let mut running = Running(command.spawn().unwrap());
+    let mut lines = BufReader::new(running.0.stderr.take().unwrap()).lines();
+    until_ready(&listen, "200").await;
+    let next = config(&listen, &second, "null").replace("status-query", "balance-query");
+    let classes = &next[next.find("\"classes\"").unwrap()..next.find(" \"dcs\"").unwrap()];
+    let broken = [
+        String::new(),
+        next[..next.len() - 1].to_owned(),
+        next.replace(classes, ""),
+        next.replace(classes, "\"classes\":[],"),
+        next.replace("\"most_tries\":5,", ""),
+        next.replace("\"most_tries\":5", "\"most_tries\":0"),
+        next.replace("\"most_tries\":5", "\"most_tries\":-2"),
+        next.replace("\"most_tries\":5", "\"most_tries\":\"5\""),
+        next.replace("\"aim\":2500.0,", ""),
+        next.replace("\"aim\":2500.0", "\"aim\":0.0"),
+        next.replace("\"aim\":2500.0", "\"aim\":\"soon\""),
+        next.replace("\"fall\":1500.0,", ""),
+        next.replace("\"tick\":4.0,", ""),
+        next.replace("\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256},", ""),
+        next.replace("balance-query", "return-request"),
+        next.replace("\"single_shot\"", "\"sometimes\""),
+    ];
+    for (number, text) in broken.iter().enumerate() {
+        assert_ne!(*text, next, "{number}");
+        std::fs::write(&file.0, text).unwrap();
+        signal(&running, "HUP");
+        let told = tokio::task::spawn_blocking(move || {
+            let told = lines.any(|line| line.unwrap().contains("can't be used"));
+            (told, lines)
+        });
+        let told = tokio::time::timeout(Duration::from_secs(20), told).await.unwrap().unwrap();
+        assert!(told.0, "{number}");
+        lines = told.1;
+        assert!(ask(&listen, "/ready").await.starts_with("HTTP/1.1 200"));
+    }
+    assert!(asked.lock().unwrap().is_empty(), "nothing of a broken file is taken");
+    // The next good one is, however many bad ones came before.
+    std::fs::write(&file.0, &next).unwrap();
+    signal(&running, "HUP");
+    let followed = async {
+        while asked.lock().unwrap().is_empty() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_millis(1200), followed).await.expect("in force at once");
+    drop(lines);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -223,8 +223,9 @@
 /// The node side alone, with a test in the core's place.
 pub fn node_side(over_sessions: &[String]) -> (mpsc::Sender<dispatch::Command>, dispatch::Inbox) {
     let profile: Profile = json::from_str(PROFILE).unwrap();
-    let bounds = Site::new(&profile).unwrap().bounds;
-    let (door, inbox) = dispatch::door();
+    let site = Arc::new(Site::new(&profile).unwrap());
+    let bounds = site.bounds;
+    let (door, inbox) = dispatch::door(site);
     let (commands, commanded) = mpsc::channel(16);
     let speak = over_sessions.iter().cloned().collect();
     tokio::spawn(nodes::run(commanded, door, bounds, Places::new(10), speak, Logger::root(Discard, o!())));
@@ -283,33 +284,26 @@
         let profile: Profile = json::from_str(PROFILE).unwrap();
         let (site, second) = (Site::new(&profile).unwrap(), Site::new(&profile).unwrap());
         let clock = Clock::start();
-        let (door, inbox) = dispatch::door();
-        let core = Core::new(site.settings.clone(), 100, 7, clock.now(), log.clone());
+        let site = Arc::new(site);
+        let (door, inbox) = dispatch::door(site.clone());
+        let core = Core::new(site.clone(), 100, 7, clock.now(), log.clone());
         let (commands, commanded) = mpsc::channel(64);
         let speak = if over_sessions { addresses.iter().cloned().collect() } else { Default::default() };
         tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, Places::new(100), speak, log.clone()));
         tokio::spawn(dispatch::run(core, clock, inbox, commands));
         let (stop, stopped) = watch::channel(Course::Serving);
-        let site = Arc::new(site);
         let options = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let options = Arc::new(Sessions::parse(options).unwrap());
         let (listener, sessions) = bind().await;
         let rooms = Rooms::new(10_000);
-        let shared = websocket::Shared::new(
-            door.clone(),
-            site.clone(),
-            options,
-            rooms.clone(),
-            1,
-            stopped.clone(),
-            log.clone(),
-        );
+        let shared =
+            websocket::Shared::new(door.clone(), options, rooms.clone(), 1, stopped.clone(), log.clone());
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
         let front = listener::serve(listener, routes, Places::new(50), stopped.clone(), log.clone());
         let (calls, management) = bind().await;
         tokio::spawn(management::serve(calls, door.clone(), log.clone()));
         let (listener, platform) = bind().await;
-        let routes = platform::routes(door.clone(), site, rooms, log.clone());
+        let routes = platform::routes(door.clone(), rooms, log.clone());
         let thin = listener::serve(listener, routes, Places::new(50), stopped, log.clone());
         let over = tokio::spawn(async move {
             tokio::join!(front, thin);
