--- a/src/api.rs
+++ b/src/api.rs
@@ -244,6 +244,8 @@
     },
     /// What it was told at its start has changed. A class's number means what it meant while it is in use.
     Settings(Settings),
+    /// This router ends soon: every request needs its final answer by then.
+    EndBy(Time),
     /// A call for the list failed, or the subscription broke.
     ListFailed,
     /// A client's request.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -167,8 +167,9 @@
     },
     /// What another process of this dispatcher knows of replicas that are out of use.
     Marks(Marks),
-    /// The dispatcher is to end: it takes no more from balancers, and serves what still comes.
-    Drain,
+    /// The dispatcher is to end: it takes no more from balancers, and serves what still comes. All that is no stream
+    /// has its final answer within this time.
+    Drain(Duration),
 }
 
 /// What the core has done.
@@ -495,7 +496,11 @@
                 (self.part, self.processes) = (part, processes);
                 self.follow(now);
             }
-            Event::Drain => self.draining = true,
+            Event::Drain(within) => {
+                self.draining = true;
+                let at = now.saturating_add(within.as_micros() as Time);
+                self.step(now, api::Event::EndBy(at));
+            }
         }
     }
 
--- /dev/null
+++ b/src/framing.rs
@@ -0,0 +1,324 @@
+//! The framing of HTTP/1.1 messages, followed beside the library that reads them: where each head and body ends, and
+//! what a head states of its body. Pure: bytes in, states out; any cut of the bytes gives the same.
+
+/// A head's line is no longer than this.
+const LONGEST_LINE: usize = 16 * 1024;
+/// Heads that may be told and not yet asked for.
+const MOST_HEADS: usize = 64;
+
+/// The bytes could not be followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost;
+
+/// Where a body in chunks stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    /// In the digits of a size; so many were read.
+    Size(u8),
+    /// Behind them, up to the line's end.
+    Extension,
+    /// A line's end has begun.
+    SizeEnd,
+    /// In the data.
+    Data,
+    /// The data's own line end, which has so many bytes left.
+    DataEnd(u8),
+    /// At the start of a line after the last chunk.
+    Trailer,
+    /// In such a line.
+    TrailerLine,
+    /// Such an empty line's end has begun.
+    TrailerEnd,
+    /// At the end.
+    End,
+}
+
+/// A body in chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Chunks {
+    at: At,
+    left: u64,
+}
+
+impl Default for Chunks {
+    fn default() -> Self {
+        Chunks { at: At::Size(0), left: 0 }
+    }
+}
+
+impl Chunks {
+    /// Reads on, and hands each piece of data on. Tells how many bytes belong to the body; fewer than all where it has
+    /// ended.
+    pub fn feed(&mut self, bytes: &[u8], mut data: impl FnMut(&[u8])) -> Result<usize, Lost> {
+        let mut read = 0;
+        while read < bytes.len() && self.at != At::End {
+            if self.at == At::Data {
+                let piece = usize::try_from(self.left).unwrap_or(usize::MAX).min(bytes.len() - read);
+                data(&bytes[read..read + piece]);
+                read += piece;
+                self.left -= piece as u64;
+                if self.left == 0 {
+                    self.at = At::DataEnd(2);
+                }
+                continue;
+            }
+            self.at = self.next(bytes[read])?;
+            read += 1;
+        }
+        Ok(read)
+    }
+
+    fn next(&mut self, byte: u8) -> Result<At, Lost> {
+        Ok(match (self.at, byte) {
+            (At::Size(digits), _) if byte.is_ascii_hexdigit() => {
+                let digit = (byte as char).to_digit(16).unwrap_or(0);
+                // 2^60 bytes never come: what says so is none of ours.
+                if digits >= 15 {
+                    return Err(Lost);
+                }
+                self.left = self.left * 16 + u64::from(digit);
+                At::Size(digits + 1)
+            }
+            (At::Size(0), _) => return Err(Lost),
+            (At::Size(_) | At::Extension, b'\r') => At::SizeEnd,
+            (At::Size(_), b' ' | b'\t' | b';') => At::Extension,
+            (At::Extension, b'\n') => return Err(Lost),
+            (At::Extension, _) => At::Extension,
+            (At::SizeEnd, b'\n') if self.left > 0 => At::Data,
+            (At::SizeEnd, b'\n') => At::Trailer,
+            (At::DataEnd(2), b'\r') => At::DataEnd(1),
+            (At::DataEnd(1), b'\n') => {
+                self.left = 0;
+                At::Size(0)
+            }
+            (At::Trailer, b'\r') => At::TrailerEnd,
+            (At::Trailer, b'\n') => return Err(Lost),
+            (At::TrailerLine, b'\n') => At::Trailer,
+            (At::Trailer | At::TrailerLine, _) => At::TrailerLine,
+            (At::TrailerEnd, b'\n') => At::End,
+            _ => return Err(Lost),
+        })
+    }
+
+    /// Whether all of the body was read.
+    pub fn ended(&self) -> bool {
+        self.at == At::End
+    }
+}
+
+/// What a request's head states of its body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stated {
+    /// It comes in chunks.
+    pub chunked: bool,
+    /// It has a length.
+    pub length: Option<u64>,
+    /// Its coding is none that is known here.
+    pub coded: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    Head,
+    Length(u64),
+    Chunks(Chunks),
+    /// The bytes could not be followed: nothing is said of any later head.
+    Lost,
+}
+
+/// The requests on one connection.
+#[derive(Debug)]
+pub struct Requests {
+    part: Part,
+    line: Vec<u8>,
+    lines: usize,
+    stated: Stated,
+    heads: std::collections::VecDeque<Stated>,
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Requests {
+            part: Part::Head,
+            line: Vec::new(),
+            lines: 0,
+            stated: Stated::default(),
+            heads: Default::default(),
+        }
+    }
+}
+
+impl Requests {
+    /// Reads on.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let read = match &mut self.part {
+                Part::Lost => return,
+                Part::Length(left) => {
+                    let piece = usize::try_from(*left).unwrap_or(usize::MAX).min(bytes.len());
+                    *left -= piece as u64;
+                    if *left == 0 {
+                        self.part = Part::Head;
+                    }
+                    Ok(piece)
+                }
+                Part::Chunks(chunks) => {
+                    let read = chunks.feed(bytes, |_| {});
+                    if chunks.ended() {
+                        self.part = Part::Head;
+                    }
+                    read
+                }
+                Part::Head => self.head(bytes),
+            };
+            match read {
+                Ok(read) => bytes = &bytes[read..],
+                Err(Lost) => {
+                    self.part = Part::Lost;
+                    self.line = Vec::new();
+                }
+            }
+        }
+    }
+
+    /// What the next head states, in their order. `None`: it can't be told.
+    pub fn next_head(&mut self) -> Option<Stated> {
+        self.heads.pop_front()
+    }
+
+    /// Reads up to a line's end, and the line.
+    fn head(&mut self, bytes: &[u8]) -> Result<usize, Lost> {
+        let end = bytes.iter().position(|byte| *byte == b'\n');
+        let read = end.map_or(bytes.len(), |end| end + 1);
+        if self.line.len() + read > LONGEST_LINE {
+            return Err(Lost);
+        }
+        self.line.extend_from_slice(&bytes[..read]);
+        if end.is_some() {
+            let line = std::mem::take(&mut self.line);
+            let line = line.strip_suffix(b"\n").unwrap_or(&line);
+            self.end_line(line.strip_suffix(b"\r").unwrap_or(line))?;
+        }
+        Ok(read)
+    }
+
+    fn end_line(&mut self, line: &[u8]) -> Result<(), Lost> {
+        if !line.is_empty() {
+            self.lines += 1;
+            return if self.lines == 1 { Ok(()) } else { self.field(line) };
+        }
+        // Empty lines before a request are passed over.
+        if self.lines == 0 {
+            return Ok(());
+        }
+        self.lines = 0;
+        let stated = std::mem::take(&mut self.stated);
+        if self.heads.len() >= MOST_HEADS || stated.coded && !stated.chunked {
+            return Err(Lost);
+        }
+        self.heads.push_back(stated);
+        self.part = match stated {
+            Stated { chunked: true, .. } => Part::Chunks(Chunks::default()),
+            Stated { length: Some(length), .. } if length > 0 => Part::Length(length),
+            _ => Part::Head,
+        };
+        Ok(())
+    }
+
+    fn field(&mut self, line: &[u8]) -> Result<(), Lost> {
+        let line = std::str::from_utf8(line).unwrap_or("");
+        let Some((name, value)) = line.split_once(':') else { return Ok(()) };
+        let (name, value) = (name.trim(), value.trim());
+        if name.eq_ignore_ascii_case("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+            let length = value.parse().ok().filter(|_| digits).ok_or(Lost)?;
+            if self.stated.length.is_some_and(|other| other != length) {
+                return Err(Lost);
+            }
+            self.stated.length = Some(length);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            // One header with the one coding; all else is not followed.
+            let again = self.stated.coded;
+            self.stated.coded = true;
+            self.stated.chunked = !again && value.eq_ignore_ascii_case("chunked");
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{Gen, QuickCheck};
+
+    fn heads(bytes: &[u8], cuts: &[usize]) -> Vec<Stated> {
+        let mut requests = Requests::default();
+        let mut from = 0;
+        for cut in cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect::<std::collections::BTreeSet<_>>() {
+            requests.feed(&bytes[from..cut]);
+            from = cut;
+        }
+        requests.feed(&bytes[from..]);
+        std::iter::from_fn(|| requests.next_head()).collect()
+    }
+
+    const MANY: &str = "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n5;x=y\r\nab\ncd\r\n1A\r\nTransfer-Encoding: chunked\r\n0\r\nT: 1\r\n\r\n\
+        \r\nGET / HTTP/1.1\r\nHost: x\r\n\r\nPOST / HTTP/1.1\ncontent-length: 7\r\n\r\nPOST / \
+        POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n";
+
+    #[test]
+    fn heads_are_told_in_order_whatever_the_cuts() {
+        let whole = heads(MANY.as_bytes(), &[]);
+        let chunked = Stated { chunked: true, length: None, coded: true };
+        let plain = Stated::default();
+        let length = Stated { length: Some(7), ..plain };
+        assert_eq!(whole, [chunked, plain, length, Stated { length: Some(4), ..chunked }]);
+        let cut = |cuts: Vec<usize>| heads(MANY.as_bytes(), &cuts) == heads(MANY.as_bytes(), &[]);
+        QuickCheck::new().rng(Gen::from_size_and_seed(40, 11)).tests(300).quickcheck(cut as fn(_) -> _);
+    }
+
+    #[test]
+    fn what_can_not_be_followed_says_nothing_more() {
+        let after = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for bad in [
+            "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            "POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n",
+            "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        ] {
+            assert!(heads(format!("{bad}{after}").as_bytes(), &[]).is_empty(), "{bad}");
+        }
+        let broken = format!("{after}zz\r\n{after}");
+        assert_eq!(heads(broken.as_bytes(), &[]).len(), 1, "the head before is told");
+        assert!(heads(&[b'x'; 3 * LONGEST_LINE], &[]).is_empty());
+    }
+
+    #[test]
+    fn garbage_is_read_to_its_end() {
+        let garbage = |bytes: Vec<u8>, cuts: Vec<usize>| heads(&bytes, &cuts) == heads(&bytes, &[]);
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(200, 12))
+            .tests(500)
+            .quickcheck(garbage as fn(_, _) -> _);
+    }
+
+    #[test]
+    fn the_data_of_chunks_is_handed_on() {
+        let text = b"3\r\nabc\r\n0A;q\r\n0123456789\r\n0\r\n\r\nnext";
+        for cut in 0..text.len() {
+            let (mut chunks, mut data, mut read) = (Chunks::default(), Vec::new(), 0);
+            for part in [&text[..cut], &text[cut..]] {
+                read += chunks.feed(part, |piece| data.extend_from_slice(piece)).unwrap();
+            }
+            assert_eq!(
+                (data.as_slice(), read, chunks.ended()),
+                (b"abc0123456789".as_slice(), text.len() - 4, true)
+            );
+        }
+        for bad in ["\r\n", "x\r\n", "3\r\nabcd", "3\n", "10000000000000000\r\n", "3;\n"] {
+            assert_eq!(Chunks::default().feed(bad.as_bytes(), |_| {}), Err(Lost), "{bad:?}");
+        }
+    }
+}
--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -4,6 +4,7 @@
 //! time, and at the limit one that stands idle makes room for a new one, so that nobody can lock the others out.
 
 use super::Course;
+use crate::framing::{Requests, Stated};
 use crate::places::{Place, Places};
 use axum::body::Body;
 use axum::http::{header, HeaderValue, StatusCode};
@@ -60,6 +61,7 @@
 struct Seat {
     state: Mutex<(Phase, Instant)>,
     stalled: Mutex<Option<Instant>>,
+    requests: Mutex<Requests>,
     changed: Notify,
     close: Notify,
 }
@@ -67,7 +69,13 @@
 impl Seat {
     fn new() -> Arc<Seat> {
         let state = Mutex::new((Phase::New, Instant::now()));
-        Arc::new(Seat { state, stalled: Mutex::default(), changed: Notify::new(), close: Notify::new() })
+        Arc::new(Seat {
+            state,
+            stalled: Mutex::default(),
+            requests: Mutex::default(),
+            changed: Notify::new(),
+            close: Notify::new(),
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, (Phase, Instant)> {
@@ -79,8 +87,13 @@
         self.changed.notify_one();
     }
 
+    fn requests(&self) -> MutexGuard<'_, Requests> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Bytes have come. The first ones of a connection don't give it more time.
-    fn heard(&self) {
+    fn heard(&self, bytes: &[u8]) {
+        self.requests().feed(bytes);
         let mut state = self.state();
         match state.0 {
             Phase::New => state.0 = Phase::Head,
@@ -197,7 +210,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.seat.heard();
+            self.seat.heard(&buffer.filled()[before..]);
         }
         read
     }
@@ -258,14 +271,21 @@
     }
 }
 
-/// Serves one request. A body whose length is not stated is refused, whatever its route: with a length stated
-/// beside it, as hyper no longer shows, it may hide a second request.
+/// Whether a request's body can hide a second request: one that has a length stated beside its chunks, as hyper does
+/// not show, or whose head could not be followed.
+fn is_doubtful(request: &Request<Incoming>, stated: Option<Stated>) -> bool {
+    let coded = request.headers().contains_key(header::TRANSFER_ENCODING);
+    coded && stated.is_none_or(|stated| !stated.chunked || stated.length.is_some())
+}
+
+/// Serves one request. A doubtful body is refused, whatever its route.
 async fn answer(mut routes: Router, house: House, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
+    let stated = seat.requests().next_head();
     seat.becomes(Phase::Open);
     let asked = Asked(seat);
-    let mut response = if request.headers().contains_key(header::TRANSFER_ENCODING) {
+    let mut response = if is_doubtful(&request, stated) {
         let closing = [(header::CONNECTION, "close")];
-        (StatusCode::LENGTH_REQUIRED, closing, "a length is required\n").into_response()
+        (StatusCode::LENGTH_REQUIRED, closing, "a length, or chunks alone, are required\n").into_response()
     } else {
         match routes.call(request).await {
             Ok(response) => response,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod bans;
 pub mod discovery;
 pub mod dispatch;
+pub mod framing;
 pub mod fronts;
 pub mod handover;
 mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -236,6 +236,7 @@
     pause: Time, // the first of a server that is set aside: the shortest aim
     next_refit: Time,
     wake_at: Option<Time>,
+    ends_at: Time, // this router ends, and no request lasts longer
     watching: bool,
     usual: f64,
     spare: f64,              // second copies and moves that may be made
@@ -278,6 +279,7 @@
             models,
             next_refit: now,
             wake_at: None,
+            ends_at: Time::MAX,
             watching: false,
             usual: 0.0,
             spare: SPARE_MOST,
@@ -293,6 +295,11 @@
         match event {
             Event::Members { complete, entries } => self.members(complete, entries),
             Event::Settings(settings) => self.changed(settings),
+            Event::EndBy(at) => {
+                self.ends_at = at;
+                let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+                ids.into_iter().for_each(|id| self.with(id, |_, it| it.end_at = it.end_at.min(at)));
+            }
             Event::ListFailed => self.watching = false,
             Event::Request(ask) => self.arrive(ask),
             Event::First { id, attempt } => self.with(id, |it, request| it.first(request, attempt as usize)),
@@ -426,6 +433,7 @@
         let part = if self.over_share(ask.tenant) { self.settings.over_share_worth } else { 1.0 };
         let worth = self.settings.classes[ask.class].worth * part;
         let end_at = self.now.saturating_add(ask.expires_in).saturating_sub(2 * self.settings.tick);
+        let end_at = end_at.min(self.ends_at);
         self.spare = (self.spare + SPARE_PER_REQUEST).min(SPARE_MOST);
         let aim_at = aim_at.min(end_at);
         self.recent.push_back(ask.prefix.unwrap_or(0));
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,6 +24,13 @@
 /// After SIGTERM new connections are served for so long, until balancers in front have noticed.
 const GRACE: Duration = Duration::from_millis(500);
 
+/// Whoever ends this process kills it after the longest deadline, or this if that is longer, ...
+const LONGEST: Duration = Duration::from_secs(3);
+/// ... and this.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// All that is no stream is answered so long before, so that what is held for it can be let go.
+const LAST: Duration = Duration::from_millis(500);
+
 /// A successor waits so long for discovery's list before it takes the one that it was told ...
 const LIST_TIME: Duration = Duration::from_millis(1500);
 /// ... and so long for its part of the limits.
@@ -259,7 +266,8 @@
         }
         let succeeded = view.borrow_and_update().successor;
         info!(log, "draining"; "open" => door.open(), "succeeded" => succeeded);
-        door.tell(Event::Drain).await;
+        let longest = Duration::from_micros(door.site().bounds.longest).min(LONGEST);
+        door.tell(Event::Drain(longest + KILL_AFTER - LAST)).await;
         let _ = set_phase.send(Phase::Leaving);
         if succeeded {
             let _ = set_course.send(Course::Leaving);
--- a/src/places.rs
+++ b/src/places.rs
@@ -6,7 +6,7 @@
 /// The limits of a dispatcher are shared between its processes in such parts.
 pub const PARTS: u32 = 16;
 
-/// A place that is taken: free again when it is let go.
+/// Places that are taken: free again when they are let go.
 pub type Place = OwnedSemaphorePermit;
 
 struct Most {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,6 +32,7 @@
 struct ClassLine {
     name: String,
     aim: Option<f64>,
+    deadline: Option<f64>,
     group: Option<String>,
     key_ttl: Option<f64>,
     repeat: Option<String>,
@@ -187,6 +188,8 @@
     pub idle: Time,
     /// Requests that may be open at once.
     pub most_held: usize,
+    /// The longest that a client waits.
+    pub longest: Time,
 }
 
 /// So many classes may be known at once, those that are gone and have requests open among them.
@@ -267,6 +270,12 @@
                 dial: limits.dial_timeout.map_or(250_000, micros),
                 idle: limits.conn_idle.map_or(30_000_000, micros),
                 most_held: limits.most_held.map_or(usize::MAX, |most| most as usize),
+                longest: class_lines
+                    .iter()
+                    .filter_map(|it| it.deadline)
+                    .map(micros)
+                    .max()
+                    .unwrap_or(Time::MAX),
             },
             classes: Names::new(class_lines.iter().map(|class| &class.name)),
             tenants: Names::new(tenant_lines.iter().map(|tenant| &tenant.name)),
