--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::bans::{Bans, Marks, Refusal};
+use crate::moving::Half;
 use crate::places::PARTS;
 use crate::settings::Site;
 use crate::Router;
@@ -50,6 +51,8 @@
     Data(Bytes),
     /// Its good end.
     End,
+    /// It is to go on in another process: for the front to have moved, or to let go of.
+    Move(Half),
 }
 
 /// The final answer to a request; there is one for each.
--- a/src/framing.rs
+++ b/src/framing.rs
@@ -100,12 +100,112 @@
         })
     }
 
+    /// The length of what [`Chunks::to_bytes`] gives.
+    pub const BYTES: usize = 10;
+
+    /// Where it stands, for another process.
+    pub fn to_bytes(self) -> [u8; Chunks::BYTES] {
+        let (at, count) = match self.at {
+            At::Size(digits) => (0, digits),
+            At::Extension => (1, 0),
+            At::SizeEnd => (2, 0),
+            At::Data => (3, 0),
+            At::DataEnd(left) => (4, left),
+            At::Trailer => (5, 0),
+            At::TrailerLine => (6, 0),
+            At::TrailerEnd => (7, 0),
+            At::End => (8, 0),
+        };
+        let mut bytes = [0; Chunks::BYTES];
+        bytes[..2].copy_from_slice(&[at, count]);
+        bytes[2..].copy_from_slice(&self.left.to_be_bytes());
+        bytes
+    }
+
+    /// Goes on from there.
+    pub fn from_bytes(bytes: &[u8; Chunks::BYTES]) -> Option<Chunks> {
+        let [at, count, left @ ..] = bytes;
+        let at = match (at, count) {
+            (0, 0..=15) => At::Size(*count),
+            (1, 0) => At::Extension,
+            (2, 0) => At::SizeEnd,
+            (3, 0) => At::Data,
+            (4, 1..=2) => At::DataEnd(*count),
+            (5, 0) => At::Trailer,
+            (6, 0) => At::TrailerLine,
+            (7, 0) => At::TrailerEnd,
+            (8, 0) => At::End,
+            _ => return None,
+        };
+        Some(Chunks { at, left: u64::from_be_bytes(*left) })
+    }
+
     /// Whether all of the body was read.
     pub fn ended(&self) -> bool {
         self.at == At::End
     }
 }
 
+/// The answer to one request, as its bytes come.
+#[derive(Debug, Default)]
+pub struct Answer {
+    line: Vec<u8>,
+    lines: usize,
+    interim: bool,
+    chunked: bool,
+    body: Option<Chunks>,
+    lost: bool,
+    data: u64,
+}
+
+impl Answer {
+    /// Reads on.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() && !self.lost {
+            let Some(body) = &mut self.body else {
+                let end = bytes.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
+                let (line, rest) = bytes.split_at(end.unwrap_or(bytes.len()));
+                bytes = rest;
+                self.line.extend_from_slice(line);
+                self.lost = self.line.len() > LONGEST_LINE;
+                if end.is_some() {
+                    let line = std::mem::take(&mut self.line);
+                    self.end_line(line.strip_suffix(b"\r\n").unwrap_or(&line));
+                }
+                continue;
+            };
+            let data = &mut self.data;
+            let fed = body.feed(bytes, |piece| *data += piece.len() as u64);
+            // What comes behind the end is none of this answer's.
+            self.lost = fed.is_err();
+            return;
+        }
+    }
+
+    fn end_line(&mut self, line: &[u8]) {
+        self.lines += 1;
+        if self.lines == 1 {
+            self.interim = line.get(9) == Some(&b'1');
+            self.lost = !line.starts_with(b"HTTP/1.1 ");
+        } else if line.is_empty() {
+            match (self.interim, self.chunked) {
+                (true, _) => *self = Answer::default(),
+                (false, true) => self.body = Some(Chunks::default()),
+                (false, false) => self.lost = true,
+            }
+        } else if let Some((name, value)) = std::str::from_utf8(line).ok().and_then(|it| it.split_once(':')) {
+            if name.trim().eq_ignore_ascii_case("transfer-encoding") {
+                self.chunked = value.trim().eq_ignore_ascii_case("chunked");
+            }
+        }
+    }
+
+    /// Where its body stands, and how much data there was, if it comes in chunks and could be followed.
+    pub fn body(&self) -> Option<(Chunks, u64)> {
+        self.body.filter(|_| !self.lost).map(|body| (body, self.data))
+    }
+}
+
 /// What a request's head states of its body.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stated {
@@ -304,6 +404,34 @@
             .quickcheck(garbage as fn(_, _) -> _);
     }
 
+    /// Two that read the two parts of an answer, the second one from what the first one told, read all of it.
+    #[test]
+    fn an_answer_is_read_on_by_another() {
+        let text = b"HTTP/1.1 103 Early\r\nTransfer-Encoding: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+            5\r\nabcde\r\n1f;e=1\r\n0123456789012345678901234567890\r\n0\r\nT: 1\r\n\r\n";
+        let head = text.windows(8).position(|it| it == b"5\r\nabcde").unwrap();
+        for cut in 0..text.len() {
+            let mut answer = Answer::default();
+            text[..cut].chunks(3).for_each(|part| answer.feed(part));
+            let Some((body, data)) = answer.body() else {
+                assert!(cut < head, "{cut}");
+                continue;
+            };
+            let mut second = Chunks::from_bytes(&body.to_bytes()).unwrap();
+            let mut rest = 0;
+            assert_eq!(second.feed(&text[cut..], |piece| rest += piece.len() as u64), Ok(text.len() - cut));
+            assert_eq!((data + rest, second.ended()), (36, true));
+        }
+        for bad in
+            ["HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", "x\r\n"]
+        {
+            let mut answer = Answer::default();
+            answer.feed(bad.as_bytes());
+            assert_eq!(answer.body(), None);
+        }
+        assert_eq!(Chunks::from_bytes(&[9; Chunks::BYTES]), None);
+    }
+
     #[test]
     fn the_data_of_chunks_is_handed_on() {
         let text = b"3\r\nabc\r\n0A;q\r\n0123456789\r\n0\r\n\r\nnext";
--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -5,6 +5,7 @@
 
 use super::Course;
 use crate::framing::{Requests, Stated};
+use crate::moving::{Mover, SharedExit};
 use crate::places::{Place, Places};
 use axum::body::Body;
 use axum::http::{header, HeaderValue, StatusCode};
@@ -62,6 +63,7 @@
     state: Mutex<(Phase, Instant)>,
     stalled: Mutex<Option<Instant>>,
     requests: Mutex<Requests>,
+    exit: SharedExit,
     changed: Notify,
     close: Notify,
 }
@@ -73,6 +75,7 @@
             state,
             stalled: Mutex::default(),
             requests: Mutex::default(),
+            exit: SharedExit::default(),
             changed: Notify::new(),
             close: Notify::new(),
         })
@@ -226,7 +229,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if flushed.is_ready() {
+            self.seat.exit.flushed(&self.stream);
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -252,6 +259,7 @@
     places: Places,
     waited: Arc<Mutex<Option<Instant>>>,
     course: watch::Receiver<Course>,
+    mover: Mover,
 }
 
 impl House {
@@ -279,10 +287,13 @@
 }
 
 /// Serves one request. A doubtful body is refused, whatever its route.
-async fn answer(mut routes: Router, house: House, seat: Arc<Seat>, request: Request<Incoming>) -> Response {
+async fn answer(
+    mut routes: Router, house: House, seat: Arc<Seat>, mut request: Request<Incoming>,
+) -> Response {
     let stated = seat.requests().next_head();
     seat.becomes(Phase::Open);
     let asked = Asked(seat);
+    request.extensions_mut().insert(asked.0.exit.clone());
     let mut response = if is_doubtful(&request, stated) {
         let closing = [(header::CONNECTION, "close")];
         (StatusCode::LENGTH_REQUIRED, closing, "a length, or chunks alone, are required\n").into_response()
@@ -300,7 +311,7 @@
 
 async fn serve_one(stream: TcpStream, seat: Arc<Seat>, routes: Router, house: House) {
     let _ = stream.set_nodelay(true);
-    let mut course = house.course.clone();
+    let (mut course, mover) = (house.course.clone(), house.mover.clone());
     let taken = seat.clone();
     let service = service_fn(move |request| {
         let answer = answer(routes.clone(), house.clone(), taken.clone(), request);
@@ -310,15 +321,20 @@
     http.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
     let wire = TokioIo::new(Heard { stream, seat: seat.clone() });
     let mut connection = pin!(http.serve_connection(wire, service).with_upgrades());
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = seat.over() => return,
-        _ = course.wait_for(|course| *course == Course::Ending) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    tokio::select! {
-        _ = connection => {}
-        () = seat.over() => {}
+    let mut ending = false;
+    loop {
+        tokio::select! {
+            // First, so that it does not come between a move and its end.
+            biased;
+            _ = course.wait_for(|course| *course == Course::Ending), if !ending => {
+                ending = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ = connection.as_mut() => return,
+            () = seat.over() => return,
+            // Dropped as it is, without an end: the successor has the socket too.
+            moved = seat.exit.moves(&mover) => if moved { return },
+        }
     }
 }
 
@@ -356,12 +372,14 @@
 }
 
 /// Serves clients, as many connections as there are places. When the dispatcher leaves, no more of them are taken;
-/// when it ends, those that are idle are closed, and it returns when all are over.
+/// when it ends, those that are idle are closed, and it returns when all are over. Streams that are to move
+/// go to the `mover`.
 pub async fn serve(
-    listener: TcpListener, routes: Router, places: Places, mut course: watch::Receiver<Course>, log: Logger,
+    listener: TcpListener, routes: Router, places: Places, mut course: watch::Receiver<Course>, mover: Mover,
+    log: Logger,
 ) {
     let mut seats = Seats {
-        house: House { places, waited: Arc::default(), course: course.clone() },
+        house: House { places, waited: Arc::default(), course: course.clone(), mover },
         taken: HashMap::new(),
     };
     let mut connections = JoinSet::new();
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -5,6 +5,7 @@
 use crate::fronts::health::ready;
 use crate::fronts::names::{is_name, key};
 use crate::fronts::room::{Rooms, MOST_BODY};
+use crate::moving::SharedExit;
 use crate::settings::{micros, Site};
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -128,13 +129,14 @@
         Ok(Err(_)) => return says(StatusCode::BAD_REQUEST, "the body is not whole"),
         Err(_) => return says(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
+    let exit = head.extensions.get::<SharedExit>().cloned();
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
     let work = Work { name, target: target.into(), body };
     ask.expires_in = ask.expires_in.saturating_sub(came.elapsed().as_micros() as u64);
     let (ticket, answered) = shared.door.ask(ask, work).await;
     match answered.await {
         Ok(Answer::Served(pieces)) => {
-            let body = Body::new(Pieces { pieces, ended: false, _ticket: ticket });
+            let body = Body::new(Pieces { pieces, ended: false, exit, _ticket: ticket });
             ([(header::CONTENT_TYPE, "text/event-stream"), (header::CACHE_CONTROL, "no-cache")], body)
                 .into_response()
         }
@@ -150,6 +152,7 @@
 struct Pieces {
     pieces: mpsc::Receiver<Piece>,
     ended: bool,
+    exit: Option<SharedExit>,
     _ticket: Ticket,
 }
 
@@ -166,6 +169,14 @@
         match self.pieces.poll_recv(context) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Piece::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Piece::Move(half))) => {
+                // Nothing more comes until it has moved, or goes on here.
+                match &self.exit {
+                    Some(exit) => exit.offer(half),
+                    None => drop(half),
+                }
+                self.poll_frame(context)
+            }
             Poll::Ready(Some(Piece::End)) => {
                 self.ended = true;
                 Poll::Ready(None)
--- a/src/fronts/websocket.rs
+++ b/src/fronts/websocket.rs
@@ -632,7 +632,9 @@
                         let text = self.whole.then(|| self.text.as_str().into());
                         return Tried::Final(Outcome::Served(text));
                     }
-                    _ => return Tried::Final(Outcome::Failed("the stream broke")),
+                    // A session stays with its process: its streams end here.
+                    Some(Piece::Move(half)) => drop(half),
+                    Some(Piece::End) | None => return Tried::Final(Outcome::Failed("the stream broke")),
                 },
             }
         }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -17,6 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
+use tokio::net::UnixListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -106,8 +107,8 @@
     pub processes: u32,
     /// An older one lives.
     pub predecessor: bool,
-    /// A younger one lives.
-    pub successor: bool,
+    /// The youngest one that is younger than this, if any lives: when it started.
+    pub successor: Option<u64>,
 }
 
 /// The files of one process.
@@ -166,14 +167,19 @@
             if path == self.path || !file_name.starts_with(&self.name) || !file_name.ends_with(".notice") {
                 continue;
             }
+            let born = file_name.get(self.name.len() + 1..).and_then(|it| it.get(..20)?.parse().ok());
             let Ok(mut file) = File::open(&path) else { continue };
             match file.try_lock_shared() {
-                Ok(()) => drop(fs::remove_file(&path)),
+                Ok(()) => {
+                    let _ = fs::remove_file(&path);
+                    if let Some(born) = born {
+                        let _ = fs::remove_file(self.doors()(born));
+                    }
+                }
                 Err(TryLockError::WouldBlock) => {
                     let mut line = String::new();
                     let _ = file.read_to_string(&mut line);
                     // One that can't be read may be using all that an older process may.
-                    let born = file_name.get(self.name.len() + 1..).and_then(|it| it.get(..20)?.parse().ok());
                     let unread = Notice { born: born.unwrap_or(0), phase: Phase::Serving, part: 15 };
                     self.others.push(Notice::parse(&line).unwrap_or(unread));
                 }
@@ -195,10 +201,21 @@
             part: self.own.part,
             processes: 1 + self.others.len() as u32,
             predecessor: self.others.iter().any(|other| other.born < self.own.born),
-            successor: self.others.iter().any(|other| other.born > self.own.born),
+            successor: self.others.iter().map(|other| other.born).filter(|born| *born > self.own.born).max(),
         }
     }
 
+    /// Where processes of this dispatcher take streams in, by when they started.
+    pub fn doors(&self) -> impl Fn(u64) -> PathBuf + use<> {
+        let (folder, name) = (self.folder.clone(), self.name.clone());
+        move |born| folder.join(format!("{name}-{born:020}.sock"))
+    }
+
+    /// Listens there for a predecessor's streams.
+    pub fn listen(&self) -> io::Result<UnixListener> {
+        UnixListener::bind(self.doors()(self.own.born))
+    }
+
     fn bans_path(&self) -> PathBuf {
         self.folder.join(format!("{}.bans", self.name))
     }
@@ -246,6 +263,7 @@
 impl Drop for Handover {
     fn drop(&mut self) {
         let _ = fs::remove_file(&self.path);
+        let _ = fs::remove_file(self.doors()(self.own.born));
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod fronts;
 pub mod handover;
 mod logic;
+pub mod moving;
 pub mod nodes;
 pub mod places;
 pub mod reload;
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use quartzhall::handover::{self, Handover, Limits, View};
 use quartzhall::places::{Places, PARTS};
 use quartzhall::settings::{Config, Sessions, Site};
-use quartzhall::{discovery, nodes, reload};
+use quartzhall::{discovery, moving, nodes, reload};
 use slog::{info, o, warn, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::pin::pin;
@@ -196,6 +196,7 @@
         core.hold_back();
     }
     let (commands, commanded) = mpsc::channel(1024);
+    let (set_moving, moving) = watch::channel(false);
     let speak_sessions = sessions.nodes.iter().cloned().collect();
     let bounds = site.bounds;
     let limits = Shares {
@@ -209,7 +210,15 @@
     let Shares { clients, nodes: to_nodes, rooms } = limits.clone();
     // Without any of these the dispatcher would take requests and answer none: it ends instead.
     let mut vital = JoinSet::new();
-    vital.spawn(nodes::run(commanded, door.clone(), bounds, to_nodes, speak_sessions, log.clone()));
+    vital.spawn(nodes::run(
+        commanded,
+        door.clone(),
+        bounds,
+        to_nodes.clone(),
+        speak_sessions,
+        moving,
+        log.clone(),
+    ));
     vital.spawn(dispatch::run(core, clock, inbox, commands));
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
@@ -220,7 +229,18 @@
     }
     let (set_phase, phase) = watch::channel(Phase::Starting);
     let (set_view, mut view) = watch::channel(view);
+    let mut mover = None;
     if let Some(handover) = handover {
+        // Streams come in from a predecessor, and go out to a successor.
+        match handover.listen() {
+            Ok(at) => drop(vital.spawn(moving::take_in(at, clients.clone(), to_nodes, log.clone()))),
+            Err(error) => warn!(log, "no streams can be taken in"; "error" => %error),
+        }
+        let (streams, whole) = mpsc::channel(64);
+        let (doors, seen) = (handover.doors(), view.clone());
+        let path = move || seen.borrow().successor.map(&doors);
+        vital.spawn(moving::carry(path, whole, log.clone()));
+        mover = Some(streams);
         vital.spawn(handover::run(handover, limits, door.clone(), phase, set_view));
     }
 
@@ -232,7 +252,7 @@
     let shared = websocket::Shared::new(door.clone(), options, rooms, seed, course.clone(), log.clone());
     if let Some(at) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        fronts.spawn(listener::serve(at, routes, Places::new(shaking), course.clone(), log.clone()));
+        fronts.spawn(listener::serve(at, routes, Places::new(shaking), course.clone(), None, log.clone()));
     }
     if let Some(at) = agent_listener {
         fronts.spawn(health::serve_agent(at, door.clone(), course.clone(), log.clone()));
@@ -261,10 +281,10 @@
             () = opens => false,
         };
         if !ended_early {
-            fronts.spawn(listener::serve(platform_listener, routes, clients, course, log.clone()));
+            fronts.spawn(listener::serve(platform_listener, routes, clients, course, mover, log.clone()));
             ends.await;
         }
-        let succeeded = view.borrow_and_update().successor;
+        let succeeded = view.borrow_and_update().successor.is_some();
         info!(log, "draining"; "open" => door.open(), "succeeded" => succeeded);
         let longest = Duration::from_micros(door.site().bounds.longest).min(LONGEST);
         door.tell(Event::Drain(longest + KILL_AFTER - LAST)).await;
@@ -274,6 +294,7 @@
         }
         tokio::time::sleep(GRACE).await;
         let _ = set_course.send(Course::Ending);
+        let _ = set_moving.send(succeeded);
         while fronts.join_next().await.is_some() {}
         shared.over().await;
         door.empty().await;
--- /dev/null
+++ b/src/moving.rs
@@ -0,0 +1,296 @@
+//! Live streams that move to a successor, with the sockets of their client and of their node.
+//!
+//! The node's side offers its [`Half`] down the stream's own channel, behind the last event; the client's side adds its
+//! socket when all before it is written. [`carry`] hands both over, and says to both sides whether that was done: where
+//! it was not, they go on. In the successor [`take_in`] passes the events on to the end.
+
+use crate::framing::{Chunks, Lost};
+use crate::nodes::events::Events;
+use crate::places::Places;
+use bytes::Bytes;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use slog::{info, warn, Logger};
+use std::future::Future;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::time::{sleep, timeout};
+
+/// Half an event is no longer than this, as for [`Events`].
+const LONGEST_PART: usize = 64 * 1024;
+/// What a predecessor says of a stream, beside the two descriptors: a mark, where its chunks stand, and how many bytes
+/// of an event follow.
+const HEAD: usize = MARK.len() + Chunks::BYTES + 4;
+const MARK: [u8; 4] = *b"QHM1";
+/// The successor's yes.
+const TAKEN: u8 = b'Y';
+/// A stream without a whole event for so long has broken.
+const SILENCE: Duration = Duration::from_secs(4);
+/// A client that takes nothing for so long is gone.
+const STALL: Duration = Duration::from_secs(30);
+/// A predecessor has so long to say what it hands over.
+const SAYING: Duration = Duration::from_secs(1);
+
+/// The node's side of a stream: nothing more is read from it here.
+#[derive(Debug)]
+pub struct Half {
+    /// Its socket.
+    pub node: OwnedFd,
+    /// Where its body stands.
+    pub chunks: Chunks,
+    /// Bytes of an event that has not ended.
+    pub part: Bytes,
+    /// Told whether it has moved; where it is dropped, it has not.
+    pub moved: oneshot::Sender<bool>,
+}
+
+/// Pieces of a stream are compared in tests; one that moves is like no other.
+impl PartialEq for Half {
+    fn eq(&self, _: &Half) -> bool {
+        false
+    }
+}
+
+/// Both sides of a stream.
+pub struct Whole {
+    half: Half,
+    client: OwnedFd,
+    moved: oneshot::Sender<bool>,
+}
+
+/// Where a client's connection finds out that its stream is to move.
+#[derive(Default)]
+pub struct Exit {
+    ends: Mutex<(Option<Half>, Option<OwnedFd>)>,
+    ready: Notify,
+}
+
+impl Exit {
+    fn ends(&self) -> MutexGuard<'_, (Option<Half>, Option<OwnedFd>)> {
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The stream's node side is offered: the connection has been given all before it.
+    pub fn offer(&self, half: Half) {
+        *self.ends() = (Some(half), None);
+    }
+
+    /// All that the connection was given is written.
+    pub fn flushed(&self, client: impl AsFd) {
+        let mut ends = self.ends();
+        if ends.0.is_some() && ends.1.is_none() {
+            match client.as_fd().try_clone_to_owned() {
+                Ok(client) => {
+                    ends.1 = Some(client);
+                    self.ready.notify_one();
+                }
+                Err(_) => ends.0 = None,
+            }
+        }
+    }
+
+    /// Waits until the stream is to move, and has it moved. True when it has: then this side is over.
+    pub async fn moves(&self, mover: &Option<mpsc::Sender<Whole>>) -> bool {
+        loop {
+            self.ready.notified().await;
+            let (Some(half), Some(client)) = std::mem::take(&mut *self.ends()) else { continue };
+            let (moved, told) = oneshot::channel();
+            if let Some(mover) = mover {
+                let _ = mover.send(Whole { half, client, moved }).await;
+            }
+            return told.await.unwrap_or(false);
+        }
+    }
+}
+
+/// Hands streams over to the process that takes them in at this path, where there is one.
+pub async fn carry(path: impl Fn() -> Option<PathBuf>, mut streams: mpsc::Receiver<Whole>, log: Logger) {
+    while let Some(whole) = streams.recv().await {
+        let (path, log) = (path(), log.clone());
+        // Each by itself: one that takes long keeps no other waiting.
+        tokio::spawn(async move {
+            let Whole { half, client, moved } = whole;
+            let done = match path {
+                Some(path) => hand_over(path, &half, client).await,
+                None => Err(ErrorKind::NotFound.into()),
+            };
+            if let Err(error) = &done {
+                warn!(log, "a stream could not be moved: it goes on here"; "error" => %error);
+            }
+            let _ = moved.send(done.is_ok());
+            let _ = half.moved.send(done.is_ok());
+        });
+    }
+    // All connections are over; the process may have something else to end.
+    std::future::pending().await
+}
+
+async fn hand_over(path: PathBuf, half: &Half, client: OwnedFd) -> io::Result<()> {
+    let mut stream = UnixStream::connect(path).await?;
+    let length = u32::try_from(half.part.len()).map_err(io::Error::other)?;
+    let head = [&MARK[..], &half.chunks.to_bytes(), &length.to_be_bytes()].concat();
+    let descriptors = [client.as_fd(), half.node.as_fd()];
+    let sent = stream.async_io(Interest::WRITABLE, || {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        control.push(SendAncillaryMessage::ScmRights(&descriptors));
+        Ok(sendmsg(&stream, &[IoSlice::new(&head)], &mut control, SendFlags::NOSIGNAL)?)
+    });
+    if sent.await? != HEAD {
+        return Err(ErrorKind::WriteZero.into());
+    }
+    stream.write_all(&half.part).await?;
+    // Without an end to the waiting: a yes that is not waited for would leave two that pass the stream on.
+    match stream.read_u8().await? {
+        TAKEN => Ok(()),
+        _ => Err(ErrorKind::InvalidData.into()),
+    }
+}
+
+/// A stream as it is taken in.
+struct Taken {
+    client: TcpStream,
+    node: TcpStream,
+    chunks: Chunks,
+    part: Vec<u8>,
+}
+
+fn tcp(descriptor: OwnedFd) -> io::Result<TcpStream> {
+    let stream = std::net::TcpStream::from(descriptor);
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+/// Hears what a predecessor hands over, and says yes.
+async fn take(mut stream: UnixStream) -> io::Result<Taken> {
+    // Who else may be there has another user's rights at most, and no business here.
+    if stream.peer_cred()?.uid() != rustix::process::geteuid().as_raw() {
+        return Err(ErrorKind::PermissionDenied.into());
+    }
+    let mut head = [0; HEAD];
+    let mut descriptors: Vec<OwnedFd> = Vec::new();
+    let read = stream.async_io(Interest::READABLE, || {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let told =
+            recvmsg(&stream, &mut [IoSliceMut::new(&mut head)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(rights) = message {
+                descriptors.extend(rights);
+            }
+        }
+        Ok(told.bytes)
+    });
+    let whole = read.await? == HEAD && head.starts_with(&MARK) && descriptors.len() == 2;
+    let chunks = head[MARK.len()..].first_chunk().and_then(Chunks::from_bytes).filter(|_| whole);
+    let chunks = chunks.ok_or(ErrorKind::InvalidData)?;
+    let length = head.last_chunk().map_or(u32::MAX, |length| u32::from_be_bytes(*length)) as usize;
+    if length > LONGEST_PART {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let mut part = vec![0; length];
+    stream.read_exact(&mut part).await?;
+    let (node, client) = (descriptors.pop(), descriptors.pop());
+    let (Some(node), Some(client)) = (node, client) else { return Err(ErrorKind::InvalidData.into()) };
+    let taken = Taken { client: tcp(client)?, node: tcp(node)?, chunks, part };
+    // From the yes on the stream is this process's.
+    stream.write_u8(TAKEN).await?;
+    Ok(taken)
+}
+
+/// Takes in the streams of a predecessor. They take places where there are some; for want of one none is cut.
+pub async fn take_in(listener: UnixListener, clients: Places, nodes: Places, log: Logger) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(log, "accept failed"; "error" => %error);
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let (log, places) = (log.clone(), (clients.take_now(1), nodes.take_now(1)));
+        tokio::spawn(async move {
+            let _places = places;
+            match timeout(SAYING, take(stream)).await.map_err(io::Error::from).flatten() {
+                Ok(taken) => {
+                    info!(log, "a stream was taken in");
+                    let ended = pass_on(taken).await;
+                    if let Err(error) = ended {
+                        info!(log, "a stream that was taken in has broken"; "error" => %error);
+                    }
+                }
+                Err(error) => warn!(log, "a stream could not be taken in"; "error" => %error),
+            }
+        });
+    }
+}
+
+/// Passes a stream's events on, whole ones as they come, up to its end. An error: it ends without the last chunk.
+async fn pass_on(taken: Taken) -> io::Result<()> {
+    let Taken { mut client, mut node, mut chunks, part } = taken;
+    let spoilt = || io::Error::from(ErrorKind::InvalidData);
+    let mut events = Events::resumed();
+    let first = events.take(&part).map_err(|_| spoilt())?;
+    write_chunk(&mut client, &first).await?;
+    let mut buffer = vec![0; 16 * 1024];
+    let mut silent_at = tokio::time::Instant::now() + SILENCE;
+    while !chunks.ended() {
+        let read = tokio::select! {
+            read = tokio::time::timeout_at(silent_at, node.read(&mut buffer)) => read??,
+            () = gone(&client) => return Err(ErrorKind::ConnectionReset.into()),
+        };
+        if read == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        let mut data = Vec::new();
+        chunks.feed(&buffer[..read], |piece| data.extend_from_slice(piece)).map_err(|Lost| spoilt())?;
+        let whole = events.take(&data).map_err(|_| spoilt())?;
+        if !whole.is_empty() {
+            write_chunk(&mut client, &whole).await?;
+            silent_at = tokio::time::Instant::now() + SILENCE;
+        }
+    }
+    let rest = events.rest().map_err(|_| spoilt())?;
+    write_chunk(&mut client, &rest).await?;
+    stalls(client.write_all(b"0\r\n\r\n")).await?;
+    client.shutdown().await
+}
+
+async fn stalls<T>(write: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    timeout(STALL, write).await?
+}
+
+async fn write_chunk(client: &mut TcpStream, data: &[u8]) -> io::Result<()> {
+    if data.is_empty() {
+        return Ok(());
+    }
+    let chunk = [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat();
+    stalls(client.write_all(&chunk)).await
+}
+
+/// Waits until the client has closed its connection. What it sends before its answer's end waits.
+async fn gone(client: &TcpStream) {
+    let mut byte = [0];
+    loop {
+        match client.peek(&mut byte).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// The way out of a process: what connections give their streams to.
+pub type Mover = Option<mpsc::Sender<Whole>>;
+
+/// An exit that may be shared.
+pub type SharedExit = Arc<Exit>;
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -3,12 +3,15 @@
 use super::events::{Events, Spoilt};
 use crate::api::{Load, RequestId, Status};
 use crate::dispatch::{Door, Event, Piece, Work};
+use crate::framing::Chunks;
+use crate::moving::Half;
 use bytes::Bytes;
 use std::future::Future;
+use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{timeout_at, Instant};
 
 /// Pieces of a stream that may wait for a slow client before its node is read no further.
@@ -58,11 +61,12 @@
     mark: Arc<AtomicBool>,
     events: Events,
     last: Instant,
+    moving: watch::Receiver<bool>,
 }
 
 impl Passing {
     /// For this attempt.
-    pub fn new(door: Door, trial: &Trial) -> Self {
+    pub fn new(door: Door, trial: &Trial, moving: watch::Receiver<bool>) -> Self {
         Passing {
             door,
             id: trial.id,
@@ -71,6 +75,7 @@
             mark: Arc::default(),
             events: Events::default(),
             last: Instant::now(),
+            moving,
         }
     }
 
@@ -97,6 +102,24 @@
         }
     }
 
+    /// Waits until the stream is to move to another process; for ever, before it has begun.
+    pub async fn to_move(&self) {
+        let mut moving = self.moving.clone();
+        if !self.begun() || moving.wait_for(|moving| *moving).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Offers the node's side, behind all that was passed on. True when it has moved: nothing of it is left here.
+    pub async fn moves(&self, node: OwnedFd, chunks: Chunks) -> bool {
+        let (moved, told) = oneshot::channel();
+        let half = Half { node, chunks, part: self.events.part(), moved };
+        match &self.pieces {
+            Some(pieces) if pieces.send(Piece::Move(half)).await.is_ok() => told.await.unwrap_or(false),
+            _ => false,
+        }
+    }
+
     async fn abandoned(&self) {
         match &self.pieces {
             Some(pieces) => pieces.closed().await,
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -1,17 +1,20 @@
 //! Connections to nodes: opened within the dial time and the descriptors allowed.
 
+use crate::framing::{Answer, Chunks};
 use crate::places::{Place, Places};
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::collections::HashSet;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -27,16 +30,47 @@
     requests: AtomicU32,
     waits: AtomicBool,
     unwritten: AtomicBool,
+    answer: Mutex<Answer>,
+    stream: Weak<TcpStream>,
+    frozen: Mutex<(bool, Option<Waker>)>,
 }
 
 impl Carried {
-    fn read(&self) {
+    fn answer(&self) -> MutexGuard<'_, Answer> {
+        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn frozen(&self) -> MutexGuard<'_, (bool, Option<Waker>)> {
+        self.frozen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads nothing more, or reads on.
+    pub fn freeze(&self, freeze: bool) {
+        let waker = std::mem::replace(&mut *self.frozen(), (freeze, None)).1;
+        if let Some(waker) = waker {
+            waker.wake();
+        }
+    }
+
+    /// Where the body of the last answer stands by all that was read, and how much data it has had so far.
+    pub fn body(&self) -> Option<(Chunks, u64)> {
+        self.answer().body()
+    }
+
+    /// The connection's own descriptor once more.
+    pub fn descriptor(&self) -> Option<OwnedFd> {
+        self.stream.upgrade()?.as_fd().try_clone_to_owned().ok()
+    }
+
+    fn read(&self, bytes: &[u8]) {
         self.waits.store(false, Ordering::Relaxed);
+        self.answer().feed(bytes);
     }
 
     fn wrote(&self, wrote: &Poll<io::Result<usize>>, all: usize) {
         if !self.waits.swap(true, Ordering::Relaxed) {
             self.requests.fetch_add(1, Ordering::Relaxed);
+            *self.answer() = Answer::default();
         }
         let whole = matches!(wrote, Poll::Ready(Ok(taken)) if *taken == all);
         self.unwritten.store(!whole, Ordering::Relaxed);
@@ -55,49 +89,80 @@
 
 /// A connection and its place among the descriptors that may be open.
 pub struct Wire {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     carried: Arc<Carried>,
     _place: Place,
 }
 
+impl Wire {
+    fn writes(
+        &self, context: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+}
+
 impl AsyncRead for Wire {
     fn poll_read(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+        self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let mut frozen = self.carried.frozen();
+        if frozen.0 {
+            frozen.1 = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        drop(frozen);
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.carried.read();
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(read) => buffer.advance(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+            if buffer.filled().len() > before {
+                self.carried.read(&buffer.filled()[before..]);
+            }
+            return Poll::Ready(Ok(()));
         }
-        read
     }
 }
 
 impl AsyncWrite for Wire {
-    fn poll_write(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write(context, bytes);
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let wrote = self.writes(context, |stream| stream.try_write(bytes));
         self.carried.wrote(&wrote, bytes.len());
         wrote
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // One that has moved is another process's too: an end here would be one there.
+        let moved = self.carried.frozen().0;
+        let done = if moved { Ok(()) } else { SockRef::from(&*self.stream).shutdown(Shutdown::Write) };
+        Poll::Ready(done.or_else(|error| match error.kind() {
+            io::ErrorKind::NotConnected => Ok(()),
+            _ => Err(error),
+        }))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
+        self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let wrote = self.writes(context, |stream| stream.try_write_vectored(slices));
         self.carried.wrote(&wrote, slices.iter().map(|slice| slice.len()).sum());
         wrote
     }
@@ -161,7 +226,9 @@
         let dialled = timeout(self.limit, async {
             let stream = TcpStream::connect(target).await?;
             stream.set_nodelay(true)?;
-            Ok(Wire { stream, carried: Arc::default(), _place: place })
+            let stream = Arc::new(stream);
+            let carried = Carried { stream: Arc::downgrade(&stream), ..Carried::default() };
+            Ok(Wire { stream, carried: Arc::new(carried), _place: place })
         });
         dialled.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
--- a/src/nodes/events.rs
+++ b/src/nodes/events.rs
@@ -35,6 +35,16 @@
 }
 
 impl Events {
+    /// Of a stream whose first event has passed.
+    pub fn resumed() -> Events {
+        Events { begun: true, ..Events::default() }
+    }
+
+    /// What came since the last event's end.
+    pub fn part(&self) -> Bytes {
+        Bytes::copy_from_slice(&self.part)
+    }
+
     /// Takes what has come and gives the whole events, and the comments beside them, as far as they have come.
     /// Comments alone don't begin a stream: they go with the first event.
     pub fn take(&mut self, data: &[u8]) -> Result<Bytes, Spoilt> {
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -34,6 +34,8 @@
 const DISTRUST: Duration = Duration::from_secs(5);
 /// ... and twice as long each time that it happens soon again, up to this.
 const DISTRUST_MOST: Duration = Duration::from_secs(60);
+/// What was read from a node comes through the client's library in this time.
+const DRAINED: Duration = Duration::from_millis(300);
 /// The end of a stream that is kept for the usage and the load report that it carries.
 const TAIL: usize = 4096;
 
@@ -156,6 +158,14 @@
     log: Logger,
 }
 
+/// A stream on its way.
+struct Stream {
+    body: Incoming,
+    passing: Passing,
+    seen: u64, // bytes of its data that have come
+    tail: Vec<u8>,
+}
+
 /// An exchange that has failed.
 struct Failure {
     error: hyper_util::client::legacy::Error,
@@ -211,19 +221,24 @@
     }
 
     /// One request and the head of its answer; `alone`: on a connection of its own.
-    async fn exchange(&self, mut request: Request<Once>, alone: bool) -> Result<Response<Incoming>, Failure> {
+    async fn exchange(
+        &self, mut request: Request<Once>, alone: bool,
+    ) -> Result<(Response<Incoming>, Option<Arc<Carried>>), Failure> {
         let client = {
             let pool = self.pool();
             let single = alone || Instant::now() < pool.distrusted_until;
             if single { &self.single } else { &pool.client }.clone()
         };
         let taken = capture_connection(&mut request);
-        client.request(request).await.map_err(|error| {
-            let mut extras = Extensions::new();
-            if let Some(connected) = &*taken.connection_metadata() {
-                connected.get_extras(&mut extras);
-            }
-            let carried = extras.get::<Arc<Carried>>();
+        let answer = client.request(request).await;
+        let mut extras = Extensions::new();
+        if let Some(connected) = &*taken.connection_metadata() {
+            connected.get_extras(&mut extras);
+        }
+        let carried = extras.remove::<Arc<Carried>>();
+        let of = carried.clone();
+        answer.map(|answer| (answer, of)).map_err(|error| {
+            let carried = carried.as_ref();
             let stale = carried.is_some_and(|it| it.was_kept());
             if stale {
                 self.distrust();
@@ -239,6 +254,7 @@
         answer
             .map_err(|it| debug!(self.log, "a call failed"; "address" => address, "error" => ?it.error))
             .ok()
+            .map(|(response, _)| response)
     }
 
     /// Runs an attempt to its end.
@@ -265,8 +281,8 @@
             }
             exchange = timeout_at(until, self.exchange(request, trial.alone)) => exchange,
         };
-        let response = match exchange {
-            Ok(Ok(response)) => response,
+        let (response, carried) = match exchange {
+            Ok(Ok(exchanged)) => exchanged,
             Ok(Err(Failure { error, stale, unwritten })) => {
                 debug!(self.log, "attempt failed"; "id" => trial.id, "attempt" => trial.attempt,
                     "address" => %trial.address, "error" => ?error, "stale" => stale, "unwritten" => unwritten);
@@ -287,7 +303,7 @@
         let load = load_of(response.headers());
         let never_ran = response.headers().get("x-never-ran").is_some_and(|value| value == "1");
         match response.status() {
-            StatusCode::OK => self.stream(until, response, passing).await,
+            StatusCode::OK => self.stream(until, response, carried, passing).await,
             StatusCode::ACCEPTED => {
                 let body = Limited::new(response.into_body(), SHORT_ANSWER).collect();
                 match timeout_at(until, body).await {
@@ -317,38 +333,88 @@
         }
     }
 
-    async fn stream(&self, until: Instant, response: Response<Incoming>, mut passing: Passing) -> End {
+    async fn stream(
+        &self, until: Instant, response: Response<Incoming>, carried: Option<Arc<Carried>>, passing: Passing,
+    ) -> End {
         let load = load_of(response.headers());
         let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
         if !kind.is_some_and(|kind| kind.starts_with("text/event-stream")) {
             return End { status: Status::Error, note: 0.0, load };
         }
-        let mut body = response.into_body();
-        let mut tail = Vec::new();
+        let mut stream = Stream { body: response.into_body(), passing, seen: 0, tail: Vec::new() };
+        let mut carried = carried;
         loop {
-            let frame = match passing.next(until, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
-                    debug!(self.log, "a stream broke"; "error" => ?error);
-                    return broken(&error).into();
-                }
-                Ok(None) => break,
-                Err(status) => return status.into(),
+            let next = tokio::select! {
+                biased;
+                next = stream.passing.next(until, stream.body.frame()) => Some(next),
+                () = stream.passing.to_move(), if carried.is_some() => None,
             };
-            let Ok(data) = frame.into_data() else { continue };
-            tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
-            tail.drain(..tail.len().saturating_sub(TAIL));
-            if let Err(status) = passing.data(&data).await {
-                return status.into();
+            match next {
+                Some(next) => match self.take(&mut stream, next).await {
+                    Ok(true) => {}
+                    Ok(false) => break,
+                    Err(status) => return status.into(),
+                },
+                // Tried once: what can't move now can't later.
+                None => match carried.take() {
+                    None => {}
+                    Some(carried) => match self.move_on(&mut stream, &carried).await {
+                        Ok(true) => return Status::Ok.into(),
+                        Ok(false) => carried.freeze(false),
+                        Err(status) => return status.into(),
+                    },
+                },
             }
         }
-        if let Err(status) = passing.end().await {
+        if let Err(status) = stream.passing.end().await {
             return End { status, note: 0.0, load };
         }
-        let (note, last) = parse_tail(&tail);
+        let (note, last) = parse_tail(&stream.tail);
         End { status: Status::Ok, note, load: last.or(load) }
     }
 
+    /// Takes what came next of a stream; false at its end.
+    async fn take(
+        &self, stream: &mut Stream, next: Result<Option<hyper::Result<Frame<Bytes>>>, Status>,
+    ) -> Result<bool, Status> {
+        let frame = match next? {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => {
+                debug!(self.log, "a stream broke"; "error" => ?error);
+                return Err(broken(&error));
+            }
+            None => return Ok(false),
+        };
+        if let Ok(data) = frame.into_data() {
+            stream.seen += data.len() as u64;
+            stream.tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
+            stream.tail.drain(..stream.tail.len().saturating_sub(TAIL));
+            stream.passing.data(&data).await?;
+        }
+        Ok(true)
+    }
+
+    /// Has the stream go on in another process: nothing more is read, and what was read is passed on first. False:
+    /// it goes on here.
+    async fn move_on(&self, stream: &mut Stream, carried: &Carried) -> Result<bool, Status> {
+        carried.freeze(true);
+        let until = Instant::now() + DRAINED;
+        loop {
+            let Some((chunks, data)) = carried.body().filter(|(chunks, _)| !chunks.ended()) else {
+                return Ok(false);
+            };
+            if data == stream.seen {
+                let Some(node) = carried.descriptor() else { return Ok(false) };
+                return Ok(stream.passing.moves(node, chunks).await);
+            }
+            // What was read and has not come yet needs no more than the connection's own task.
+            let Ok(frame) = timeout_at(until, stream.body.frame()).await else { return Ok(false) };
+            if !self.take(stream, Ok(frame)).await? {
+                return Ok(false);
+            }
+        }
+    }
+
     /// Asks a node to let go of what is held for a request; true when it said that it has.
     pub async fn release(&self, name: &str, address: &str) -> bool {
         let Some(answer) = self.call(Method::DELETE, address, &format!("/kv/leases/{name}")).await else {
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -87,10 +87,11 @@
 }
 
 /// Does what the core commands, until it ends. `places` are for connections to nodes;
-/// `speak_sessions` names the addresses of nodes that speak WebSocket sessions.
+/// `speak_sessions` names the addresses of nodes that speak WebSocket sessions. Once `moving` turns true, streams move
+/// to another process.
 pub async fn run(
     mut commands: mpsc::Receiver<Command>, door: Door, bounds: Bounds, places: Places,
-    speak_sessions: HashSet<String>, log: Logger,
+    speak_sessions: HashSet<String>, moving: watch::Receiver<bool>, log: Logger,
 ) {
     let most_idle = (places.whole() / IDLE_PART).max(1);
     let dialer = Dialer::new(Duration::from_micros(bounds.dial), places);
@@ -110,7 +111,7 @@
                     let (cancel, cancelled) = oneshot::channel::<()>();
                     let shared = shared.clone();
                     let trial = Trial { id, attempt, address, work, timeout, alone };
-                    let passing = Passing::new(shared.door.clone(), &trial);
+                    let passing = Passing::new(shared.door.clone(), &trial, moving.clone());
                     let begun = passing.mark();
                     let cancelled = async move {
                         // A cancel may cross with the first event. The core has then given the stream to the
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -44,7 +44,14 @@
     let routes = Router::new()
         .route("/ready", get(|| async { "ready." }))
         .route("/post", post(|_: axum::body::Bytes| async {}));
-    tokio::spawn(listener::serve(listener, routes, Places::new(most), stopped, Logger::root(Discard, o!())));
+    tokio::spawn(listener::serve(
+        listener,
+        routes,
+        Places::new(most),
+        stopped,
+        None,
+        Logger::root(Discard, o!()),
+    ));
     (address, stop)
 }
 
@@ -186,7 +193,14 @@
         Body::from_stream(futures_util::stream::iter(pieces))
     };
     let routes = Router::new().route("/ready", get(flood));
-    tokio::spawn(listener::serve(listener, routes, Places::new(2), stopped, Logger::root(Discard, o!())));
+    tokio::spawn(listener::serve(
+        listener,
+        routes,
+        Places::new(2),
+        stopped,
+        None,
+        Logger::root(Discard, o!()),
+    ));
     for (pause, whole) in [(25, true), (35, false)] {
         let mut client = send(&address, GET).await;
         client.read_u8().await.unwrap();
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -62,6 +62,7 @@
                     match piece {
                         Piece::Data(data) => text.extend_from_slice(&data),
                         Piece::End => whole = true,
+                        Piece::Move(_) => panic!("nothing moves here"),
                     }
                 }
                 return (status, String::from_utf8(text).unwrap(), whole);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -228,7 +228,15 @@
     let (door, inbox) = dispatch::door(site);
     let (commands, commanded) = mpsc::channel(16);
     let speak = over_sessions.iter().cloned().collect();
-    tokio::spawn(nodes::run(commanded, door, bounds, Places::new(10), speak, Logger::root(Discard, o!())));
+    tokio::spawn(nodes::run(
+        commanded,
+        door,
+        bounds,
+        Places::new(10),
+        speak,
+        watch::channel(false).1,
+        Logger::root(Discard, o!()),
+    ));
     (commands, inbox)
 }
 
@@ -289,7 +297,15 @@
         let core = Core::new(site.clone(), 100, 7, clock.now(), log.clone());
         let (commands, commanded) = mpsc::channel(64);
         let speak = if over_sessions { addresses.iter().cloned().collect() } else { Default::default() };
-        tokio::spawn(nodes::run(commanded, door.clone(), site.bounds, Places::new(100), speak, log.clone()));
+        tokio::spawn(nodes::run(
+            commanded,
+            door.clone(),
+            site.bounds,
+            Places::new(100),
+            speak,
+            watch::channel(false).1,
+            log.clone(),
+        ));
         tokio::spawn(dispatch::run(core, clock, inbox, commands));
         let (stop, stopped) = watch::channel(Course::Serving);
         let options = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
@@ -299,12 +315,12 @@
         let shared =
             websocket::Shared::new(door.clone(), options, rooms.clone(), 1, stopped.clone(), log.clone());
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        let front = listener::serve(listener, routes, Places::new(50), stopped.clone(), log.clone());
+        let front = listener::serve(listener, routes, Places::new(50), stopped.clone(), None, log.clone());
         let (calls, management) = bind().await;
         tokio::spawn(management::serve(calls, door.clone(), log.clone()));
         let (listener, platform) = bind().await;
         let routes = platform::routes(door.clone(), rooms, log.clone());
-        let thin = listener::serve(listener, routes, Places::new(50), stopped, log.clone());
+        let thin = listener::serve(listener, routes, Places::new(50), stopped, None, log.clone());
         let over = tokio::spawn(async move {
             tokio::join!(front, thin);
             shared.over().await;
