Bound how many streams move at once; a successor waits for addresses that are not inherited

Each stream that moves needs up to three descriptors beyond its own meanwhile; at 50 open streams that were 150 on top of the two processes' shares. Twelve move at once now. A session or agent-check address that the predecessor still has made a new version fail at its start; it waits for it now.

--- a/src/main.rs
+++ b/src/main.rs
@@ -36,6 +36,9 @@
 /// ... and so long for its part of the limits.
 const SHARE_TIME: Duration = Duration::from_millis(1500);
 
+/// An address that a predecessor still has is tried again after this.
+const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
+
 /// A dispatcher for fleets of language-model servers.
 #[derive(Parser)]
 #[command(name = "quartzhall", version)]
@@ -95,6 +98,39 @@
     TcpListener::bind(address).await.map_err(|error| format!("{address}: {error}"))
 }
 
+/// A listener on an address that is not inherited: a successor waits until its predecessor has let go of it.
+enum Late {
+    Bound(TcpListener),
+    Waits(String),
+}
+
+impl Late {
+    async fn bind(address: Option<String>, predecessor: bool) -> Result<Option<Late>, String> {
+        Ok(match address {
+            None => None,
+            Some(address) if predecessor => Some(Late::Waits(address)),
+            Some(address) => Some(Late::Bound(listen(&address).await?)),
+        })
+    }
+
+    /// `None`: this process ends before.
+    async fn listener(self, mut course: watch::Receiver<Course>) -> Option<TcpListener> {
+        let address = match self {
+            Late::Bound(listener) => return Some(listener),
+            Late::Waits(address) => address,
+        };
+        loop {
+            if let Ok(listener) = listen(&address).await {
+                return Some(listener);
+            }
+            let leaves = course.wait_for(|course| *course > Course::Serving);
+            if timeout(ADDRESS_AGAIN, leaves).await.is_ok() {
+                return None;
+            }
+        }
+    }
+}
+
 /// Writes to standard error from a thread of its own; a log that nobody reads is dropped and counted.
 fn logger(level: Level) -> (Logger, slog_async::AsyncGuard) {
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
@@ -156,14 +192,11 @@
         }
         None => listen(&config.listen).await?,
     };
-    let mut session_listener = None;
-    if let Some(address) = &sessions.listen {
-        session_listener = Some(listen(address).await?);
-    }
-    let mut agent_listener = None;
-    if let Some(address) = &sessions.agent_check {
-        agent_listener = Some(listen(address).await?);
-    }
+    let clock = Clock::start();
+    let mut handover = inherited.is_some().then(|| post(&config.name, clock, &log)).flatten();
+    let view = handover.as_ref().map_or(View::default(), Handover::view);
+    let session_listener = Late::bind(sessions.listen.clone(), view.predecessor).await?;
+    let agent_listener = Late::bind(sessions.agent_check.clone(), view.predecessor).await?;
     let mut management_listener = None;
     if let Some(address) = management.as_ref().or(config.management.as_ref()).filter(|it| !it.is_empty()) {
         management_listener = Some(listen(address).await?);
@@ -175,11 +208,8 @@
     // Sessions, where they are taken, get theirs out of the clients' part.
     let for_sessions = session_listener.as_ref().map_or(0, |_| sessions.most_sessions + shaking);
 
-    let clock = Clock::start();
     let site = Arc::new(site);
     let (door, inbox) = dispatch::door(site.clone());
-    let mut handover = inherited.is_some().then(|| post(&config.name, clock, &log)).flatten();
-    let view = handover.as_ref().map_or(View::default(), Handover::view);
     let mut core = Core::new(site.clone(), node_sockets, seed, clock.now(), log.clone());
     if let Some(marks) = handover.as_mut().and_then(Handover::new_bans) {
         core.hear(clock.now(), Event::Marks(marks));
@@ -196,7 +226,7 @@
         core.hold_back();
     }
     let (commands, commanded) = mpsc::channel(1024);
-    let (set_moving, moving) = watch::channel(false);
+    let (set_moving, moving) = moving::signal();
     let speak_sessions = sessions.nodes.iter().cloned().collect();
     let bounds = site.bounds;
     let limits = Shares {
@@ -250,12 +280,20 @@
     let mut fronts = JoinSet::new();
     let options = Arc::new(sessions);
     let shared = websocket::Shared::new(door.clone(), options, rooms, seed, course.clone(), log.clone());
-    if let Some(at) = session_listener {
+    if let Some(late) = session_listener {
         let routes = websocket::routes(shared.clone()).merge(health::routes(door.clone()));
-        fronts.spawn(listener::serve(at, routes, Places::new(shaking), course.clone(), None, log.clone()));
+        let (course, log) = (course.clone(), log.clone());
+        fronts.spawn(async move {
+            let Some(at) = late.listener(course.clone()).await else { return };
+            listener::serve(at, routes, Places::new(shaking), course, None, log).await;
+        });
     }
-    if let Some(at) = agent_listener {
-        fronts.spawn(health::serve_agent(at, door.clone(), course.clone(), log.clone()));
+    if let Some(late) = agent_listener {
+        let (door, course, log) = (door.clone(), course.clone(), log.clone());
+        fronts.spawn(async move {
+            let Some(at) = late.listener(course.clone()).await else { return };
+            health::serve_agent(at, door, course, log).await;
+        });
     }
     info!(log, "serving"; "name" => config.name, "listen" => config.listen, "most_held" => site.bounds.most_held.min(node_sockets),
         "from_clients" => most, "to_nodes" => node_sockets);
--- a/src/moving.rs
+++ b/src/moving.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpStream, UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Half an event is no longer than this, as for [`Events`].
@@ -33,6 +33,8 @@
 const MARK: [u8; 4] = *b"QHM1";
 /// The successor's yes.
 const TAKEN: u8 = b'Y';
+/// So many streams move at once.
+const AT_ONCE: usize = 12;
 /// A stream without a whole event for so long has broken.
 const SILENCE: Duration = Duration::from_secs(4);
 /// A client that takes nothing for so long is gone.
@@ -53,6 +55,32 @@
     pub moved: oneshot::Sender<bool>,
 }
 
+/// Says when streams are to move. Few move at a time: each needs descriptors beyond its own meanwhile.
+#[derive(Clone)]
+pub struct Signal {
+    on: watch::Receiver<bool>,
+    turns: Arc<Semaphore>,
+}
+
+impl Signal {
+    /// Waits until streams are to move, and for a turn.
+    pub async fn turn(&self) -> OwnedSemaphorePermit {
+        let mut on = self.on.clone();
+        if on.wait_for(|on| *on).await.is_ok() {
+            if let Ok(turn) = self.turns.clone().acquire_owned().await {
+                return turn;
+            }
+        }
+        std::future::pending().await
+    }
+}
+
+/// A signal, and what turns it on.
+pub fn signal() -> (watch::Sender<bool>, Signal) {
+    let (turn_on, on) = watch::channel(false);
+    (turn_on, Signal { on, turns: Arc::new(Semaphore::new(AT_ONCE)) })
+}
+
 /// Pieces of a stream are compared in tests; one that moves is like no other.
 impl PartialEq for Half {
     fn eq(&self, _: &Half) -> bool {
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -4,14 +4,14 @@
 use crate::api::{Load, RequestId, Status};
 use crate::dispatch::{Door, Event, Piece, Work};
 use crate::framing::Chunks;
-use crate::moving::Half;
+use crate::moving::{Half, Signal};
 use bytes::Bytes;
 use std::future::Future;
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 use tokio::time::{timeout_at, Instant};
 
 /// Pieces of a stream that may wait for a slow client before its node is read no further.
@@ -61,12 +61,12 @@
     mark: Arc<AtomicBool>,
     events: Events,
     last: Instant,
-    moving: watch::Receiver<bool>,
+    moving: Signal,
 }
 
 impl Passing {
     /// For this attempt.
-    pub fn new(door: Door, trial: &Trial, moving: watch::Receiver<bool>) -> Self {
+    pub fn new(door: Door, trial: &Trial, moving: Signal) -> Self {
         Passing {
             door,
             id: trial.id,
@@ -102,11 +102,11 @@
         }
     }
 
-    /// Waits until the stream is to move to another process; for ever, before it has begun.
-    pub async fn to_move(&self) {
-        let mut moving = self.moving.clone();
-        if !self.begun() || moving.wait_for(|moving| *moving).await.is_err() {
-            std::future::pending::<()>().await;
+    /// Waits until the stream is to move to another process, and for its turn; for ever, before it has begun.
+    pub async fn to_move(&self) -> OwnedSemaphorePermit {
+        match self.begun() {
+            true => self.moving.turn().await,
+            false => std::future::pending().await,
         }
     }
 
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -346,17 +346,17 @@
         loop {
             let next = tokio::select! {
                 biased;
-                next = stream.passing.next(until, stream.body.frame()) => Some(next),
-                () = stream.passing.to_move(), if carried.is_some() => None,
+                next = stream.passing.next(until, stream.body.frame()) => Ok(next),
+                turn = stream.passing.to_move(), if carried.is_some() => Err(turn),
             };
             match next {
-                Some(next) => match self.take(&mut stream, next).await {
+                Ok(next) => match self.take(&mut stream, next).await {
                     Ok(true) => {}
                     Ok(false) => break,
                     Err(status) => return status.into(),
                 },
                 // Tried once: what can't move now can't later.
-                None => match carried.take() {
+                Err(_turn) => match carried.take() {
                     None => {}
                     Some(carried) => match self.move_on(&mut stream, &carried).await {
                         Ok(true) => return Status::Ok.into(),
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::api::{RequestId, ServerId, Status};
 use crate::dispatch::{Command, Door, Event};
+use crate::moving::Signal;
 use crate::places::Places;
 use crate::settings::Bounds;
 use attempt::{End, Passing, Trial};
@@ -22,7 +23,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -87,11 +88,11 @@
 }
 
 /// Does what the core commands, until it ends. `places` are for connections to nodes;
-/// `speak_sessions` names the addresses of nodes that speak WebSocket sessions. Once `moving` turns true, streams move
-/// to another process.
+/// `speak_sessions` names the addresses of nodes that speak WebSocket sessions. Streams move to another process
+/// when `moving` says so.
 pub async fn run(
     mut commands: mpsc::Receiver<Command>, door: Door, bounds: Bounds, places: Places,
-    speak_sessions: HashSet<String>, moving: watch::Receiver<bool>, log: Logger,
+    speak_sessions: HashSet<String>, moving: Signal, log: Logger,
 ) {
     let most_idle = (places.whole() / IDLE_PART).max(1);
     let dialer = Dialer::new(Duration::from_micros(bounds.dial), places);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -234,7 +234,7 @@
         bounds,
         Places::new(10),
         speak,
-        watch::channel(false).1,
+        quartzhall::moving::signal().1,
         Logger::root(Discard, o!()),
     ));
     (commands, inbox)
@@ -303,7 +303,7 @@
             site.bounds,
             Places::new(100),
             speak,
-            watch::channel(false).1,
+            quartzhall::moving::signal().1,
             log.clone(),
         ));
         tokio::spawn(dispatch::run(core, clock, inbox, commands));
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -24,6 +24,7 @@
     address: String,
     folder: PathBuf,
     discovery: String,
+    arguments: Vec<String>,
 }
 
 struct Process {
@@ -73,7 +74,7 @@
         let address = socket.local_addr().unwrap().to_string();
         let folder = std::env::temp_dir().join(format!("quartzhall-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        House { fleet, socket, address, folder, discovery }
+        House { fleet, socket, address, folder, discovery, arguments: Vec::new() }
     }
 
     fn command(&self, descriptor: &str, socket: OwnedFd, management: &str) -> Command {
@@ -86,7 +87,8 @@
         std::fs::write(&config, text).unwrap();
         // The shell puts the inherited socket where the platform does.
         let mut command = Command::new("sh");
-        command.args(["-c", "exec 5<&0 0</dev/null; exec \"$0\" serve"]).arg(PROGRAM);
+        command.args(["-c", "exec 5<&0 0</dev/null; exec \"$0\" serve \"$@\""]).arg(PROGRAM);
+        command.args(&self.arguments);
         command.env("GW_CONFIG", config).env("GW_SOCKET_FD", descriptor).env("TMPDIR", &self.folder);
         command.env("GW_MANAGEMENT", management).stdin(Stdio::from(socket)).stderr(Stdio::null());
         command
@@ -313,6 +315,39 @@
     }
 }
 
+/// Addresses that are not inherited go from one to the other: the successor waits for them and does not fail.
+#[tokio::test]
+async fn a_successor_takes_over_addresses_of_its_own_when_they_are_free() {
+    let mut house = House::new("late").await;
+    let agent = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap().to_string();
+    let file = house.folder.join("websocket.json");
+    std::fs::write(&file, format!(r#"{{"agent_check":"{agent}"}}"#)).unwrap();
+    house.arguments = vec!["--websocket".into(), file.to_str().unwrap().into()];
+    let line = |wanted: &'static str| {
+        let agent = agent.clone();
+        let asks = async move {
+            loop {
+                let mut line = String::new();
+                if let Ok(mut stream) = TcpStream::connect(&agent).await {
+                    let _ = stream.read_to_string(&mut line).await;
+                }
+                if line == wanted {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        async { tokio::time::timeout(Duration::from_secs(20), asks).await.expect("the line") }
+    };
+    let old = house.start().await;
+    line("up ready\n").await;
+    let _new = house.start().await;
+    old.terminate();
+    line("up drain\n").await;
+    assert_eq!(old.ends().await, Some(0));
+    line("up ready\n").await;
+}
+
 /// What a killed process left stops no start; what is no listening socket stops one with one line.
 #[tokio::test]
 async fn leavings_stop_no_start_and_a_wrong_descriptor_does() {
