--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -315,6 +315,29 @@
     }
 }
 
+/// Operators are answered within 1 s while every place for clients is taken by half a request, more wait in the
+/// queue, and callers sit there that never end their line.
+#[tokio::test]
+async fn operators_are_answered_whatever_clients_do() {
+    let house = House::new("full").await;
+    let process = house.start().await;
+    let mut crowd = Vec::new();
+    for _ in 0..400 {
+        let mut stream = house.connect().await;
+        stream.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: half").await.unwrap();
+        crowd.push(stream);
+    }
+    for _ in 0..30 {
+        let mut caller = BufReader::new(TcpStream::connect(&process.management).await.unwrap());
+        caller.write_all(b"disable-server n").await.unwrap();
+        crowd.push(caller);
+    }
+    for (line, answer) in [("ready", "ACK\n"), ("disable-server n2", "ACK\n"), ("enable-server n2", "ACK\n")] {
+        let called = tokio::time::timeout(Duration::from_secs(1), process.call(line)).await;
+        assert_eq!(called.expect("within 1 s").as_deref(), Some(answer), "{line}");
+    }
+}
+
 /// Addresses that are not inherited go from one to the other: the successor waits for them and does not fail.
 #[tokio::test]
 async fn a_successor_takes_over_addresses_of_its_own_when_they_are_free() {
