--- a/Makefile
+++ b/Makefile
@@ -7,18 +7,18 @@
 	cargo build --release --locked
 
 check:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
-	cargo test --locked
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
+	cargo test --locked --workspace
 
 format:
-	cargo fmt
+	cargo fmt --all
 
 lint:
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 run: build
 	target/release/quartzhall serve --config $(CONFIG)
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -7,10 +7,12 @@
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::bans::{Bans, Marks, Refusal};
 use crate::moving::Half;
+use crate::notes::Notes;
 use crate::places::PARTS;
 use crate::settings::Site;
 use crate::Router;
 use bytes::Bytes;
+use quartzhall_recording::{Answer as Noted, Record, Recorder};
 use slog::{debug, info, warn, Logger};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -120,6 +122,8 @@
         status: Status,
         /// Tokens found kept, or 1 with `Full` where no state was there.
         note: f64,
+        /// Tokens of the answer, where that was told.
+        written: f64,
         /// The node's load, where it was told.
         load: Option<Load>,
     },
@@ -418,6 +422,7 @@
     next_sweep: Time,
     draining: bool,
     commands: Vec<Command>,
+    notes: Option<Notes>,
     log: Logger,
 }
 
@@ -446,12 +451,29 @@
             next_sweep: now,
             draining: false,
             commands: Vec::new(),
+            notes: None,
             log,
         };
         core.step(now, api::Event::Wake);
         core
     }
 
+    /// Notes from now on what it hears and does.
+    pub fn take_notes(&mut self, notes: Notes) {
+        self.notes = Some(notes);
+    }
+
+    /// What was noted since the last call.
+    pub fn notes(&mut self) -> Vec<Record> {
+        self.notes.as_mut().map(Notes::take).unwrap_or_default()
+    }
+
+    fn note(&mut self, note: impl FnOnce(&mut Notes)) {
+        if let Some(notes) = &mut self.notes {
+            note(notes);
+        }
+    }
+
     /// Is not ready until it hears [`Event::Open`].
     pub fn hold_back(&mut self) {
         self.held_back = true;
@@ -463,7 +485,8 @@
             Event::Request { ask, work, answer } => self.request(now, ask, work, answer),
             Event::Gone { id, fate } => self.gone(now, id, fate),
             Event::First { id, attempt, stream } => self.first(now, id, attempt, stream),
-            Event::Ended { id, attempt, status, note, load } => {
+            Event::Ended { id, attempt, status, note, written, load } => {
+                self.note(|notes| notes.ended(now, id, attempt, status, note, written));
                 self.ended(now, id, attempt, status, note, load)
             }
             Event::Released(id) => {
@@ -568,6 +591,8 @@
         let names = site.settings.classes.iter().filter(|class| class.open).count();
         info!(self.log, "new settings"; "classes" => names, "most_tries" => site.settings.max_attempts);
         (self.site, self.site_changed) = (Arc::new(site), true);
+        let site = self.site.clone();
+        self.note(|notes| notes.settings(&site));
         self.follow(now);
         Ok(())
     }
@@ -604,6 +629,7 @@
             "expires_in" => ask.expires_in);
         let class = self.site.settings.classes.get(ask.class);
         let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
+        self.note(|notes| notes.arrival(now, &ask));
         let held = Held {
             class: ask.class,
             work,
@@ -630,6 +656,7 @@
         // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
         if !std::mem::replace(&mut held.closed, true) {
             held.answer = None;
+            self.note(|notes| notes.over(now, id, Noted::Left));
             self.step(now, api::Event::Gone { id });
         }
         self.settle(now, id);
@@ -651,6 +678,7 @@
         (held.begun, held.known, held.stray) = (Some(attempt), false, false);
         held.work.body = Bytes::new(); // nothing is sent for it any more
         debug!(self.log, "first event"; "id" => id, "attempt" => attempt);
+        self.note(|notes| notes.first(now, id, attempt));
         self.step(now, api::Event::First { id, attempt });
     }
 
@@ -663,7 +691,12 @@
         let server = ended.server;
         held.idle_since = now;
         if held.begun == Some(attempt) {
-            held.closed = true; // by its good end, or by its break
+            // By its good end, or by its break; its client may have left before.
+            let answer = if status == Status::Ok { Noted::Served } else { Noted::Broken };
+            if let Some(notes) = self.notes.as_mut().filter(|_| !held.closed) {
+                notes.over(now, id, answer);
+            }
+            held.closed = true;
         }
         let reads = self.nodes.get(&server).is_none_or(|node| node.role != Role::Writer);
         let proven = matches!(
@@ -682,7 +715,7 @@
         }
         // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
         if status == Status::Rejected {
-            self.close(id, Answer::Rejected);
+            self.close(now, id, Answer::Rejected);
         }
         let closed = self.requests.get(&id).is_some_and(|held| held.closed);
         debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
@@ -709,12 +742,17 @@
             if before.as_ref().is_some_and(|it| it.address != address) {
                 debug!(self.log, "a node has moved"; "server" => server, "address" => %address);
             }
-            if before.is_none_or(|it| it.state != state || it.address != address) {
+            let news = before.as_ref().is_none_or(|it| it.state != state || it.address != address);
+            if news {
                 debug!(self.log, "a node's state"; "server" => server, "name" => %node.name,
                     "address" => %address, "role" => ?role, "state" => ?state, "started" => ?node.listed.started);
                 self.commands.push(Command::Bar { address, barred: state != State::Ready });
             }
             let entry = node.entry();
+            let told = self.notes.as_mut().filter(|_| news);
+            if let Some(notes) = told {
+                notes.node(now, &node.name, &entry);
+            }
             self.nodes.insert(server, node);
             entries.push(entry);
         }
@@ -754,7 +792,11 @@
             let (Some(node), Some(state)) = (self.nodes.get_mut(server), state) else { continue };
             node.state = state;
             node.back_at = node.back_at.max(self.bans.ended(name));
-            entries.push(node.entry());
+            let entry = node.entry();
+            if let Some(notes) = &mut self.notes {
+                notes.node(now, name, &entry);
+            }
+            entries.push(entry);
             self.commands.push(Command::Bar { address: node.address.clone(), barred: state != State::Ready });
         }
         if !entries.is_empty() {
@@ -778,6 +820,7 @@
             let Some(node) = self.nodes.remove(&server) else { continue };
             self.numbers.remove(&node.name);
             self.bans.has_left(node.name);
+            self.note(|notes| notes.node_gone(server));
             if self.nodes.values().all(|other| other.address != node.address) {
                 self.commands.push(Command::Bar { address: node.address, barred: false });
             }
@@ -803,11 +846,11 @@
                     }
                 }
                 Action::Refuse { id, retry_after } => {
-                    self.close(id, Answer::Refused(Duration::from_micros(retry_after)));
+                    self.close(now, id, Answer::Refused(Duration::from_micros(retry_after)));
                     self.settle(now, id);
                 }
                 Action::Fail { id } => {
-                    self.close(id, Answer::Failed);
+                    self.close(now, id, Answer::Failed);
                     self.settle(now, id);
                 }
                 Action::Release { id } => {
@@ -844,6 +887,9 @@
         };
         let timeout = if timeout == 0 { Time::MAX } else { timeout }.min(held.deadline - now);
         debug!(self.log, "send"; "id" => id, "attempt" => attempt, "server" => server);
+        if let Some(notes) = &mut self.notes {
+            notes.sent(now, id, attempt, server);
+        }
         self.commands.push(Command::Send {
             id,
             attempt,
@@ -855,16 +901,21 @@
     }
 
     /// The one place for final answers but streams.
-    fn close(&mut self, id: RequestId, answer: Answer) {
+    fn close(&mut self, now: Time, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id).filter(|held| !held.closed && held.begun.is_none())
         else {
             return;
         };
         held.closed = true;
         debug!(self.log, "closed"; "id" => id, "answer" => ?answer);
+        let noted = match &answer {
+            Answer::Refused(_) => Noted::Refused,
+            _ => Noted::Failed,
+        };
         if let Some(waiting) = held.answer.take() {
             let _ = waiting.send(answer);
         }
+        self.note(|notes| notes.over(now, id, noted));
     }
 
     /// Looks after one request: its deadline, and what was held for too long.
@@ -873,7 +924,7 @@
         if !held.closed && held.begun.is_none() && now >= held.deadline {
             // The module ends requests in time by itself; this guards the client against a mistake there.
             warn!(self.log, "a deadline passed without an answer"; "id" => id);
-            self.close(id, Answer::Failed);
+            self.close(now, id, Answer::Failed);
             self.step(now, api::Event::Gone { id });
         }
         self.settle(now, id);
@@ -983,8 +1034,11 @@
     (door, inbox)
 }
 
-/// The task that owns the core: it ends when every door is gone.
-pub async fn run(mut core: Core, clock: Clock, mut inbox: Inbox, commands: mpsc::Sender<Command>) {
+/// The task that owns the core: it ends when every door is gone. What the core notes goes to the recorder.
+pub async fn run(
+    mut core: Core, clock: Clock, mut inbox: Inbox, commands: mpsc::Sender<Command>,
+    recorder: Option<Recorder>,
+) {
     loop {
         let due = core.due().map(|at| clock.instant(at));
         let sleep = async {
@@ -1012,6 +1066,9 @@
                 return;
             }
         }
+        if let Some(recorder) = &recorder {
+            core.notes().into_iter().for_each(|note| recorder.note(note));
+        }
         if let Some(site) = core.new_site() {
             inbox.site.send_replace(site);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 mod logic;
 pub mod moving;
 pub mod nodes;
+pub mod notes;
 pub mod places;
 pub mod reload;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,9 +6,11 @@
 use quartzhall::fronts::{health, listener, management, platform, websocket, Course};
 use quartzhall::handover::shares::Phase;
 use quartzhall::handover::{self, Handover, Limits, View};
+use quartzhall::notes::Notes;
 use quartzhall::places::{Places, PARTS};
 use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, moving, nodes, reload};
+use quartzhall_recording::{Key, Recorder};
 use slog::{info, o, warn, Drain, Level, Logger};
 use std::path::{Path, PathBuf};
 use std::pin::pin;
@@ -36,6 +38,8 @@
 /// ... and so long for its part of the limits.
 const SHARE_TIME: Duration = Duration::from_millis(1500);
 
+/// So many records may wait for the file.
+const RECORDS: usize = 8192;
 /// An address that a predecessor still has is tried again after this.
 const ADDRESS_AGAIN: Duration = Duration::from_millis(50);
 
@@ -60,6 +64,9 @@
         /// Where operators call, in place of the configuration's `management`.
         #[arg(long, env = "GW_MANAGEMENT")]
         management: Option<String>,
+        /// Record arrivals, attempts and answers to this new file, without texts or names of sessions.
+        #[arg(long)]
+        record: Option<PathBuf>,
         /// What is logged: error, warning, info or debug.
         #[arg(long, env = "QUARTZHALL_LOG", default_value = "info", value_parser = level)]
         log: Level,
@@ -165,6 +172,16 @@
     posted.map_err(|error| warn!(log, "no notice for other processes"; "error" => %error)).ok()
 }
 
+/// A recording to a new file: none is ever written over.
+fn recording(path: &Path, name: &str, clock: Clock, site: &Site) -> Result<(Notes, Recorder), String> {
+    let wrong = |error: &dyn std::fmt::Display| format!("the recording {}: {error}", path.display());
+    let mut secret = [0; 32];
+    getrandom::fill(&mut secret).map_err(|error| wrong(&error))?;
+    let file = std::fs::File::create_new(path).map_err(|error| wrong(&error))?;
+    let recorder = Recorder::start(file, RECORDS).map_err(|error| wrong(&error))?;
+    Ok((Notes::new(Key::from_secret(&secret), clock.now(), name, site), recorder))
+}
+
 /// Waits until a successor can take clients: it has a list, discovery's own if that comes soon, and its part of the
 /// limits, if the predecessor comes down to its own soon.
 async fn take_over(door: &Door, known: Option<Event>, view: &mut watch::Receiver<View>) {
@@ -179,7 +196,7 @@
 
 async fn serve(
     (file, text): (PathBuf, String), config: Config, site: Site, sessions: Sessions,
-    management: Option<String>, log: Logger,
+    management: Option<String>, record: Option<PathBuf>, log: Logger,
 ) -> Result<(), String> {
     // Signals come first: one that came before its handler would end the program.
     let hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
@@ -211,6 +228,12 @@
     let site = Arc::new(site);
     let (door, inbox) = dispatch::door(site.clone());
     let mut core = Core::new(site.clone(), node_sockets, seed, clock.now(), log.clone());
+    let mut recorder = None;
+    if let Some(path) = &record {
+        let (notes, to) = recording(path, &config.name, clock, &site)?;
+        core.take_notes(notes);
+        recorder = Some(to);
+    }
     if let Some(marks) = handover.as_mut().and_then(Handover::new_bans) {
         core.hear(clock.now(), Event::Marks(marks));
     }
@@ -249,7 +272,7 @@
         moving,
         log.clone(),
     ));
-    vital.spawn(dispatch::run(core, clock, inbox, commands));
+    vital.spawn(dispatch::run(core, clock, inbox, commands, recorder));
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
     vital.spawn(reload::run(file, text, hangup, door.clone(), set_discovery, log.clone()));
@@ -360,13 +383,13 @@
             println!("sessions: {}", sessions.listen.as_deref().unwrap_or("off"));
             Ok(())
         }
-        Task::Serve { config, websocket, management, log } => {
+        Task::Serve { config, websocket, management, record, log } => {
             let file = config;
             let (text, config, site, sessions) = read(&file, websocket.as_deref())?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
             let (log, _guard) = logger(log);
-            runtime.block_on(serve((file, text), config, site, sessions, management, log))
+            runtime.block_on(serve((file, text), config, site, sessions, management, record, log))
         }
     }
 }
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -41,13 +41,15 @@
     pub status: Status,
     /// Tokens found kept, or 1 with `Full` where no state was there.
     pub note: f64,
+    /// Tokens of the answer, where that was told.
+    pub written: f64,
     /// The node's load, where it was told.
     pub load: Option<Load>,
 }
 
 impl From<Status> for End {
     fn from(status: Status) -> Self {
-        End { status, note: 0.0, load: None }
+        End { status, note: 0.0, written: 0.0, load: None }
     }
 }
 
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -76,6 +76,7 @@
 
 #[derive(Deserialize)]
 struct Usage {
+    completion_tokens: Option<f64>,
     prompt_tokens_details: Option<Kept>,
 }
 
@@ -84,20 +85,21 @@
     usage: Option<Usage>,
 }
 
-/// What the last lines of a stream tell: tokens found kept, and the node's load.
-pub fn parse_tail(tail: &[u8]) -> (f64, Option<Load>) {
+/// What the last lines of a stream tell: tokens found kept, tokens of the answer, and the node's load.
+pub fn parse_tail(tail: &[u8]) -> (f64, f64, Option<Load>) {
     let text = String::from_utf8_lossy(tail);
-    let (mut kept, mut load) = (0.0, None);
+    let (mut kept, mut written, mut load) = (0.0, 0.0, None);
     for line in text.lines() {
         if let Some(comment) = line.strip_prefix(':') {
             load = parse_load(comment).or(load);
         } else if let Some(data) = line.strip_prefix("data:").filter(|data| data.contains("\"usage\"")) {
             let usage = json::from_str::<Last>(data.trim()).ok().and_then(|last| last.usage);
+            written = usage.as_ref().and_then(|usage| usage.completion_tokens).unwrap_or(written);
             let details = usage.and_then(|usage| usage.prompt_tokens_details);
             kept = details.and_then(|details| details.cached_tokens).unwrap_or(kept);
         }
     }
-    (kept, load)
+    (kept, written, load)
 }
 
 /// Whether this holds for an error or for one that it comes from.
@@ -311,24 +313,24 @@
                         let body = body.to_bytes();
                         let kept = std::str::from_utf8(&body).ok().and_then(|it| json::from_str(it).ok());
                         let note = kept.and_then(|kept: Kept| kept.cached_tokens).unwrap_or(0.0);
-                        End { status: Status::Read, note, load }
+                        End { status: Status::Read, note, written: 0.0, load }
                     }
                     Ok(Err(_)) => Status::Reset.into(),
                     Err(_) => Status::Timeout.into(),
                 }
             }
-            StatusCode::GONE if never_ran => End { status: Status::Full, note: 1.0, load },
+            StatusCode::GONE if never_ran => End { status: Status::Full, note: 1.0, written: 0.0, load },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => {
-                End { status: Status::Full, note: 0.0, load }
+                End { status: Status::Full, note: 0.0, written: 0.0, load }
             }
             StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::PAYLOAD_TOO_LARGE => {
                 debug!(self.log, "a bad request, says a node"; "id" => trial.id, "address" => %trial.address);
-                End { status: Status::Rejected, note: 0.0, load }
+                End { status: Status::Rejected, note: 0.0, written: 0.0, load }
             }
             other => {
                 debug!(self.log, "a node's error"; "id" => trial.id, "address" => %trial.address,
                     "code" => other.as_u16());
-                End { status: Status::Error, note: 0.0, load }
+                End { status: Status::Error, note: 0.0, written: 0.0, load }
             }
         }
     }
@@ -339,7 +341,7 @@
         let load = load_of(response.headers());
         let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
         if !kind.is_some_and(|kind| kind.starts_with("text/event-stream")) {
-            return End { status: Status::Error, note: 0.0, load };
+            return End { status: Status::Error, note: 0.0, written: 0.0, load };
         }
         let mut stream = Stream { body: response.into_body(), passing, seen: 0, tail: Vec::new() };
         let mut carried = carried;
@@ -367,10 +369,10 @@
             }
         }
         if let Err(status) = stream.passing.end().await {
-            return End { status, note: 0.0, load };
+            return End { status, note: 0.0, written: 0.0, load };
         }
-        let (note, last) = parse_tail(&stream.tail);
-        End { status: Status::Ok, note, load: last.or(load) }
+        let (note, written, last) = parse_tail(&stream.tail);
+        End { status: Status::Ok, note, written, load: last.or(load) }
     }
 
     /// Takes what came next of a stream; false at its end.
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -122,13 +122,13 @@
                         }
                     };
                     let handle = tasks.spawn(async move {
-                        let End { status, note, load } = tokio::select! {
+                        let End { status, note, written, load } = tokio::select! {
                             biased;
                             end = shared.attempt(trial, passing) => end,
                             // Dropping the exchange closes its connection.
                             () = cancelled => Status::Cancelled.into(),
                         };
-                        shared.door.tell(Event::Ended { id, attempt, status, note, load }).await;
+                        shared.door.tell(Event::Ended { id, attempt, status, note, written, load }).await;
                     });
                     trials.insert(handle.id(), (id, attempt));
                     cancels.insert((id, attempt), cancel);
@@ -167,7 +167,7 @@
                     // A task that died has told nothing: the core must not wait for it.
                     error!(shared.log, "an attempt's task died"; "error" => %error);
                     let status = Status::Reset;
-                    shared.door.post(Event::Ended { id, attempt, status, note: 0.0, load: None });
+                    shared.door.post(Event::Ended { id, attempt, status, note: 0.0, written: 0.0, load: None });
                 }
             }
         }
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -61,7 +61,7 @@
     }
     let load = told.load.as_deref().and_then(parse_load);
     let kept = told.cached_tokens.unwrap_or(0.0);
-    let end = |status, note| Sense::End(End { status, note, load });
+    let end = |status, note| Sense::End(End { status, note, written: 0.0, load });
     match (told.kind.as_str(), told.data) {
         ("event", Some(data)) => Sense::Data(data.into()),
         ("read", _) => end(Status::Read, kept),
--- /dev/null
+++ b/src/notes.rs
@@ -0,0 +1,120 @@
+//! What the core notes for a recording, in the recording's terms. It holds no file: whoever owns the core takes the notes.
+
+use crate::api::{Ask, Entry, Role, ServerId, State, Status, Time};
+use crate::settings::{Names, Site};
+use quartzhall_recording::{Answer, Key, Record, Sort, Table};
+use std::collections::HashSet;
+use std::sync::Arc;
+
+/// The notes that nobody has taken yet.
+pub struct Notes {
+    key: Key,
+    notes: Vec<Record>,
+    nodes: HashSet<ServerId>,
+}
+
+fn tokens(tokens: f64) -> u32 {
+    tokens.clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
+fn role(role: Role) -> quartzhall_recording::Role {
+    match role {
+        Role::Reader => quartzhall_recording::Role::Reader,
+        Role::Writer => quartzhall_recording::Role::Writer,
+        Role::Both => quartzhall_recording::Role::Both,
+    }
+}
+
+fn status(status: Status) -> quartzhall_recording::Status {
+    use quartzhall_recording::Status as Noted;
+    match status {
+        Status::Ok => Noted::Ok,
+        Status::Read => Noted::Read,
+        Status::Error => Noted::Error,
+        Status::Full => Noted::Full,
+        Status::Timeout => Noted::Timeout,
+        Status::ConnectFailed => Noted::ConnectFailed,
+        Status::Reset => Noted::Reset,
+        Status::Stale => Noted::Stale,
+        Status::Cancelled => Noted::Cancelled,
+        Status::Moot => Noted::Moot,
+        Status::Rejected => Noted::Rejected,
+    }
+}
+
+impl Notes {
+    /// Notes of a dispatcher, from now on.
+    pub fn new(key: Key, at: Time, dispatcher: &str, site: &Site) -> Notes {
+        let start = Record::Start { at, dispatcher: dispatcher.into(), dispatchers: site.settings.balancers };
+        let mut notes = Notes { key, notes: vec![start], nodes: HashSet::new() };
+        notes.settings(site);
+        notes
+    }
+
+    /// The numbers of classes and tenants mean this from now on.
+    pub fn settings(&mut self, site: &Site) {
+        for (table, names) in [(Table::Class, &site.classes), (Table::Tenant, &site.tenants)] {
+            let named = |(name, number): (&String, u32)| Record::Name { table, number, name: name.clone() };
+            self.notes.extend(Names::pairs(names).map(named));
+        }
+    }
+
+    /// A node is as told here.
+    pub fn node(&mut self, at: Time, name: &Arc<str>, entry: &Entry) {
+        let node = entry.server;
+        if self.nodes.insert(node) {
+            self.notes.push(Record::Name { table: Table::Node, number: node, name: name.to_string() });
+        }
+        let ready = entry.state == State::Ready;
+        let started = entry.started.unwrap_or(0);
+        self.notes.push(Record::Node { at, node, role: role(entry.role), cell: entry.cell, ready, started });
+    }
+
+    /// A node is gone; its number is not used again.
+    pub fn node_gone(&mut self, node: ServerId) {
+        self.nodes.remove(&node);
+    }
+
+    /// A request has come.
+    pub fn arrival(&mut self, at: Time, ask: &Ask) {
+        let digest = |sort, name: Option<u64>| name.map(|name| self.key.digest(sort, &name.to_le_bytes()));
+        self.notes.push(Record::Arrival {
+            at,
+            request: ask.id,
+            class: ask.class as u32,
+            tenant: ask.tenant.map(|tenant| tenant as u32),
+            session: digest(Sort::Session, ask.session),
+            opening: digest(Sort::Opening, ask.prefix),
+            prompt: tokens(ask.prompt),
+            prefix: tokens(ask.prefix_tokens),
+            most: tokens(ask.max_tokens),
+            expires_in: ask.expires_in,
+        });
+    }
+
+    /// An attempt has been sent.
+    pub fn sent(&mut self, at: Time, request: u64, attempt: u32, node: ServerId) {
+        self.notes.push(Record::Sent { at, request, attempt, node });
+    }
+
+    /// An attempt's first event has come.
+    pub fn first(&mut self, at: Time, request: u64, attempt: u32) {
+        self.notes.push(Record::First { at, request, attempt });
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, at: Time, request: u64, attempt: u32, how: Status, kept: f64, written: f64) {
+        let (status, kept, written) = (status(how), tokens(kept), tokens(written));
+        self.notes.push(Record::Ended { at, request, attempt, status, kept, written });
+    }
+
+    /// A request is over.
+    pub fn over(&mut self, at: Time, request: u64, answer: Answer) {
+        self.notes.push(Record::Final { at, request, answer });
+    }
+
+    /// Takes what was noted.
+    pub fn take(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.notes)
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -132,6 +132,12 @@
         self.by_name.get(name).copied()
     }
 
+    /// All names with their numbers, in their order.
+    pub fn pairs(&self) -> impl Iterator<Item = (&String, u32)> {
+        let number = |name: &String| self.known(name);
+        self.names.iter().filter_map(move |name| Some((name, number(name)?)))
+    }
+
     /// The name with this number.
     pub fn name(&self, number: u32) -> &str {
         self.names.get(number as usize).map_or("", String::as_str)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,7 +3,9 @@
 use quartzhall::api::{Ask, Entry, Role, State, Status, Time};
 use quartzhall::bans::Refusal;
 use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
+use quartzhall::notes::Notes;
 use quartzhall::settings::{Profile, Site};
+use quartzhall_recording::{Key, Record, Table};
 use slog::{o, Discard, Logger};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -70,7 +72,7 @@
     }
 
     fn ended(&mut self, id: u64, attempt: u32, status: Status) {
-        self.hear(Event::Ended { id, attempt, status, note: 0.0, load: None });
+        self.hear(Event::Ended { id, attempt, status, note: 0.0, written: 0.0, load: None });
     }
 
     fn sends(&self) -> usize {
@@ -261,7 +263,7 @@
     let core = Core::new(site, 10, 7, clock.now(), Logger::root(Discard, o!()));
     door.post(Event::Drain(std::time::Duration::from_secs(3)));
     let (commands, _commanded) = mpsc::channel(16);
-    tokio::spawn(dispatch::run(core, clock, inbox, commands));
+    tokio::spawn(dispatch::run(core, clock, inbox, commands, None));
     door.becomes(Readiness::Draining).await;
 }
 
@@ -500,3 +502,79 @@
     bench.pass(5_000 * MS);
     assert_eq!(bench.core.open(), 1);
 }
+
+/// A recording says of each request how it came, where it went, and how it ended, once; and names no session.
+#[test]
+fn a_recording_tells_each_request_once_and_no_session() {
+    let mut bench = Bench::new(10);
+    let site = site(profile::PROFILE);
+    bench.core.take_notes(Notes::new(Key::from_secret(b"test"), START, "n1", &site));
+    bench
+        .hear(Event::Members { complete: false, members: vec![member("ww", Role::Writer, State::Draining)] });
+    bench.hear(Event::Members { complete: false, members: vec![member("ww", Role::Writer, State::Ready)] });
+    let (secret, mut waiting) = (0x7f3a_9c21_e0b4_d655, Vec::new());
+    for (id, session) in [(1, Some(secret)), (2, Some(secret)), (3, Some(5)), (4, None)] {
+        let ask =
+            Ask { id, session, expires_in: 2_000 * MS, prompt: 500.0, max_tokens: 9.0, ..Ask::default() };
+        let work = Work { name: format!("r{id}").into(), target: "/".into(), body: "{}".into() };
+        let (answer, answered) = oneshot::channel();
+        waiting.push(answered);
+        bench.hear(Event::Request { ask, work, answer });
+        bench.ended(id, 0, Status::Read);
+    }
+    // One is served, one breaks after its client has left, one is given up, one's client leaves.
+    let (_pieces, stream) = mpsc::channel(4);
+    bench.hear(Event::First { id: 1, attempt: 1, stream });
+    bench.hear(Event::Ended {
+        id: 1,
+        attempt: 1,
+        status: Status::Ok,
+        note: 4096.0,
+        written: 200.0,
+        load: None,
+    });
+    let (_pieces, stream) = mpsc::channel(4);
+    bench.hear(Event::First { id: 2, attempt: 1, stream });
+    bench.hear(Event::Gone { id: 2, fate: None });
+    bench.ended(2, 1, Status::Reset);
+    bench.hear(Event::Gone { id: 3, fate: None });
+    bench.pass(3_000 * MS);
+    let mut records = bench.core.notes();
+    assert!(bench.core.notes().is_empty());
+    let names = |wanted| {
+        let name = |record: &Record| match record {
+            Record::Name { table, number, name } if *table == wanted => Some((*number, name.clone())),
+            _ => None,
+        };
+        records.iter().filter_map(name).collect::<Vec<_>>()
+    };
+    assert_eq!(names(Table::Class), [(0, "status-query".into()), (1, "return-request".into())]);
+    assert_eq!(names(Table::Tenant), [(0, "acme".into())]);
+    assert_eq!(names(Table::Node).len(), 1, "once, however often it is told of");
+    let sessions = |record: &Record| match record {
+        Record::Arrival { session, .. } => Some(*session),
+        _ => None,
+    };
+    let sessions: Vec<_> = records.iter().filter_map(sessions).collect();
+    assert!(sessions[0] == sessions[1] && sessions[0] != sessions[2] && sessions[3].is_none());
+    assert!(!format!("{records:?}").contains(&secret.to_string()));
+    let ended = Record::Ended {
+        at: bench.now,
+        request: 1,
+        attempt: 1,
+        status: quartzhall_recording::Status::Ok,
+        kept: 4096,
+        written: 200,
+    };
+    let at = |record: &Record| format!("{record:?}").split_once("request").map(|it| it.1.to_owned());
+    assert!(records.iter().any(|record| at(record) == at(&ended)), "{records:?}");
+    records.retain(|record| matches!(record, Record::Final { .. }));
+    let finals = records.iter().map(|record| match record {
+        Record::Final { request, answer, .. } => (*request, *answer),
+        _ => unreachable!(),
+    });
+    let mut finals: Vec<_> = finals.collect();
+    finals.sort_by_key(|it| it.0);
+    use quartzhall_recording::Answer::{Left, Refused, Served};
+    assert_eq!(finals, [(1, Served), (2, Left), (3, Left), (4, Refused)]);
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -11,7 +11,7 @@
 use quickcheck::{Arbitrary, Gen};
 
 const MEMBERS: &str = r#"{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","cell":3,"phase":"Ready","size":1.0,"up_since_ms":0}]}"#;
-const TAIL: &str = "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n: Endpoint-Load-Metrics: TEXT inflight=7, x0=0.5\n\n";
+const TAIL: &str = "data: {\"choices\":[],\"usage\":{\"completion_tokens\":200,\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n: Endpoint-Load-Metrics: TEXT inflight=7, x0=0.5\n\n";
 const TOLD: &str = r#"{"type":"read","id":"n","cached_tokens":7,"load":"TEXT inflight=7"}"#;
 
 fn site() -> Site {
@@ -82,8 +82,9 @@
 
 #[test]
 fn what_is_valid_is_read_as_it_is_meant() {
-    let (kept, load) = http::parse_tail(TAIL.as_bytes());
+    let (kept, written, load) = http::parse_tail(TAIL.as_bytes());
     let load = load.expect("a report");
+    assert_eq!(written, 200.0);
     assert_eq!((kept, load.in_flight, load.memory, load.queue), (4096.0, Some(7.0), Some(0.5), None));
     assert!(attempt::parse_load("TEXT what=7").is_none() && attempt::parse_load("JSON inflight=7").is_none());
     assert!(attempt::parse_load("TEXT inflight=inf").is_none());
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,6 +5,7 @@
 use axum::http::Uri;
 use axum::routing::get;
 use axum::Router;
+use quartzhall_recording::{Answer, Reader, Record};
 use stand::{Fleet, Way};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -332,12 +333,38 @@
         caller.write_all(b"disable-server n").await.unwrap();
         crowd.push(caller);
     }
-    for (line, answer) in [("ready", "ACK\n"), ("disable-server n2", "ACK\n"), ("enable-server n2", "ACK\n")] {
+    for (line, answer) in [("ready", "ACK\n"), ("disable-server n2", "ACK\n"), ("enable-server n2", "ACK\n")]
+    {
         let called = tokio::time::timeout(Duration::from_secs(1), process.call(line)).await;
         assert_eq!(called.expect("within 1 s").as_deref(), Some(answer), "{line}");
     }
 }
 
+/// The real program's recording holds what was asked of it, whole at its end; one that is there is never written over.
+#[tokio::test]
+async fn a_recording_is_whole_when_its_process_has_ended() {
+    let mut house = House::new("record").await;
+    let file = house.folder.join("traffic.qhr");
+    house.arguments = vec!["--record".into(), file.to_str().unwrap().into()];
+    let process = house.start().await;
+    let mut stream = house.connect().await;
+    for number in 0..20 {
+        assert_eq!(house.ask(&mut stream, &format!("r{number}")).await.map(|it| it.0), Some(200));
+    }
+    drop(stream);
+    process.terminate();
+    assert_eq!(process.ends().await, Some(0));
+    let mut reader = Reader::new(std::fs::File::open(&file).unwrap()).unwrap();
+    let records: Vec<Record> = reader.by_ref().map(Result::unwrap).collect();
+    assert!(!reader.was_cut());
+    let count = |holds: fn(&Record) -> bool| records.iter().filter(|record| holds(record)).count();
+    assert_eq!(count(|record| matches!(record, Record::Arrival { .. })), 20);
+    assert_eq!(count(|record| matches!(record, Record::Final { answer: Answer::Served, .. })), 20);
+    let again = house.command("5", house.socket.try_clone().unwrap().into(), "127.0.0.1:0");
+    let output = { again }.stderr(Stdio::piped()).output().unwrap();
+    assert!(!output.status.success() && String::from_utf8_lossy(&output.stderr).contains("the recording"));
+}
+
 /// Addresses that are not inherited go from one to the other: the successor waits for them and does not fail.
 #[tokio::test]
 async fn a_successor_takes_over_addresses_of_its_own_when_they_are_free() {
