Let go of kept connections to a replica that may get nothing new

Named by the issue: what is kept to a replica that is out must not be used when it is back. framing tells when an answer is over, for certain; a connection that is unwanted and idle then looks closed to the pool, and one with a stream goes when that has ended.

--- a/src/framing.rs
+++ b/src/framing.rs
@@ -153,6 +153,9 @@
     lines: usize,
     interim: bool,
     chunked: bool,
+    bodiless: bool,
+    length: Option<u64>,
+    over: bool,
     body: Option<Chunks>,
     lost: bool,
     data: u64,
@@ -161,7 +164,12 @@
 impl Answer {
     /// Reads on.
     pub fn feed(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() && !self.lost {
+        while !bytes.is_empty() && !self.lost && !self.over {
+            if let (None, 0, Some(left)) = (self.body, self.lines, &mut self.length) {
+                *left = left.saturating_sub(bytes.len() as u64);
+                self.over = *left == 0;
+                return;
+            }
             let Some(body) = &mut self.body else {
                 let end = bytes.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
                 let (line, rest) = bytes.split_at(end.unwrap_or(bytes.len()));
@@ -178,6 +186,7 @@
             let fed = body.feed(bytes, |piece| *data += piece.len() as u64);
             // What comes behind the end is none of this answer's.
             self.lost = fed.is_err();
+            self.over = body.ended();
             return;
         }
     }
@@ -186,20 +195,33 @@
         self.lines += 1;
         if self.lines == 1 {
             self.interim = line.get(9) == Some(&b'1');
+            self.bodiless = matches!(line.get(9..12), Some(b"204" | b"304"));
             self.lost = !line.starts_with(b"HTTP/1.1 ");
         } else if line.is_empty() {
+            self.lines = 0;
             match (self.interim, self.chunked) {
                 (true, _) => *self = Answer::default(),
+                (false, _) if self.bodiless => self.over = true,
                 (false, true) => self.body = Some(Chunks::default()),
-                (false, false) => self.lost = true,
+                (false, false) => {
+                    self.over = self.length == Some(0);
+                    self.lost = self.length.is_none();
+                }
             }
         } else if let Some((name, value)) = std::str::from_utf8(line).ok().and_then(|it| it.split_once(':')) {
             if name.trim().eq_ignore_ascii_case("transfer-encoding") {
                 self.chunked = value.trim().eq_ignore_ascii_case("chunked");
+            } else if name.trim().eq_ignore_ascii_case("content-length") {
+                self.length = value.trim().parse().ok();
             }
         }
     }
 
+    /// Whether all of it was read, for certain: its connection is idle then.
+    pub fn is_over(&self) -> bool {
+        self.over && !self.lost
+    }
+
     /// Where its body stands, and how much data there was, if it comes in chunks and could be followed.
     pub fn body(&self) -> Option<(Chunks, u64)> {
         self.body.filter(|_| !self.lost).map(|body| (body, self.data))
@@ -432,6 +454,29 @@
         assert_eq!(Chunks::from_bytes(&[9; Chunks::BYTES]), None);
     }
 
+    #[test]
+    fn an_answer_is_over_with_its_last_byte_and_not_before() {
+        for text in [
+            "HTTP/1.1 202 Accepted\r\nContent-Length: 3\r\n\r\nabc",
+            "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+        ] {
+            let mut answer = Answer::default();
+            for byte in text.as_bytes() {
+                assert!(!answer.is_over(), "{text}");
+                answer.feed(&[*byte]);
+            }
+            assert!(answer.is_over(), "{text}");
+            let mut whole = Answer::default();
+            whole.feed(text.as_bytes());
+            assert!(whole.is_over());
+        }
+        let mut endless = Answer::default();
+        endless.feed(b"HTTP/1.1 200 OK\r\n\r\nabc");
+        assert!(!endless.is_over());
+    }
+
     #[test]
     fn the_data_of_chunks_is_handed_on() {
         let text = b"3\r\nabc\r\n0A;q\r\n0123456789\r\n0\r\n\r\nnext";
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -6,7 +6,7 @@
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
@@ -33,6 +33,7 @@
     answer: Mutex<Answer>,
     stream: Weak<TcpStream>,
     frozen: Mutex<(bool, Option<Waker>)>,
+    unwanted: AtomicBool,
 }
 
 impl Carried {
@@ -44,6 +45,18 @@
         self.frozen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Is let go of, if nothing is under way on it; else it goes on, and is not kept after that.
+    fn let_go(&self) {
+        self.unwanted.store(true, Ordering::Relaxed);
+        if let Some(waker) = self.frozen().1.take() {
+            waker.wake();
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        !self.waits.load(Ordering::Relaxed) && self.answer().is_over()
+    }
+
     /// Reads nothing more, or reads on.
     pub fn freeze(&self, freeze: bool) {
         let waker = std::mem::replace(&mut *self.frozen(), (freeze, None)).1;
@@ -112,12 +125,17 @@
     fn poll_read(
         self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut frozen = self.carried.frozen();
-        if frozen.0 {
+        {
+            let mut frozen = self.carried.frozen();
             frozen.1 = Some(context.waker().clone());
-            return Poll::Pending;
+            if frozen.0 {
+                return Poll::Pending;
+            }
+        }
+        // To who keeps it, it looks as if its node had closed it.
+        if self.carried.unwanted.load(Ordering::Relaxed) && self.carried.is_idle() {
+            return Poll::Ready(Ok(()));
         }
-        drop(frozen);
         let before = buffer.filled().len();
         loop {
             ready!(self.stream.poll_read_ready(context))?;
@@ -174,13 +192,20 @@
     limit: Duration,
     places: Places,
     barred: Arc<Mutex<HashSet<Arc<str>>>>,
+    wires: Arc<Mutex<HashMap<SocketAddr, Vec<Weak<Carried>>>>>,
     changed: watch::Sender<()>,
 }
 
 impl Dialer {
     /// As many connections as there are places, each up within `limit`.
     pub fn new(limit: Duration, places: Places) -> Self {
-        Dialer { limit, places, barred: Arc::default(), changed: watch::Sender::new(()) }
+        Dialer {
+            limit,
+            places,
+            barred: Arc::default(),
+            wires: Arc::default(),
+            changed: watch::Sender::new(()),
+        }
     }
 
     fn barred(&self) -> MutexGuard<'_, HashSet<Arc<str>>> {
@@ -190,6 +215,8 @@
     /// Nothing new may go to this address, not even what waits for a connection; or it may again.
     pub fn bar(&self, address: Arc<str>, barred: bool) {
         if barred {
+            let there = address.parse().ok().and_then(|address| self.wires().remove(&address));
+            there.iter().flatten().filter_map(Weak::upgrade).for_each(|carried| carried.let_go());
             self.barred().insert(address);
             self.changed.send_replace(());
         } else {
@@ -197,6 +224,10 @@
         }
     }
 
+    fn wires(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Weak<Carried>>>> {
+        self.wires.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether nothing new may go to this address.
     pub fn is_barred(&self, address: &str) -> bool {
         self.barred().contains(address)
@@ -227,8 +258,16 @@
             let stream = TcpStream::connect(target).await?;
             stream.set_nodelay(true)?;
             let stream = Arc::new(stream);
-            let carried = Carried { stream: Arc::downgrade(&stream), ..Carried::default() };
-            Ok(Wire { stream, carried: Arc::new(carried), _place: place })
+            let carried = Arc::new(Carried { stream: Arc::downgrade(&stream), ..Carried::default() });
+            let mut wires = self.wires();
+            // Those that are closed go as others are opened, also at nodes that are gone.
+            wires.retain(|_, there| {
+                there.retain(|carried| carried.strong_count() > 0);
+                !there.is_empty()
+            });
+            wires.entry(target).or_default().push(Arc::downgrade(&carried));
+            drop(wires);
+            Ok(Wire { stream, carried, _place: place })
         });
         dialled.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -231,3 +231,35 @@
         assert_eq!(ended(&mut inbox).await, Status::Moot);
     }
 }
+
+/// Connections that were kept to a node that may get nothing new are let go of; one on which a stream runs is not, until
+/// that has ended.
+#[tokio::test]
+async fn kept_connections_to_a_barred_node_are_let_go() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (commands, mut inbox) = node_side(&[]);
+    commands.send(send(1, &address)).await.unwrap();
+    let (mut idle, _) = listener.accept().await.unwrap();
+    hear(&mut idle).await;
+    commands.send(send(2, &address)).await.unwrap();
+    let (mut busy, _) = listener.accept().await.unwrap();
+    hear(&mut busy).await;
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    busy.write_all(format!("{head}9\r\ndata: 1\n\n\r\n").as_bytes()).await.unwrap();
+    let Event::First { mut stream, .. } = next(&mut inbox).await else { panic!("no first event") };
+    idle.write_all(b"HTTP/1.1 202 OK\r\nContent-Length: 2\r\n\r\n{}").await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    commands.send(Command::Bar { address: address.as_str().into(), barred: true }).await.unwrap();
+    let gone = timeout(Duration::from_secs(5), idle.read(&mut [0])).await.expect("let go");
+    assert!(matches!(gone, Ok(0)));
+    busy.write_all(b"9\r\ndata: 2\n\n\r\n0\r\n\r\n").await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Ok);
+    let mut whole = Vec::new();
+    while let Some(Piece::Data(data)) = stream.recv().await {
+        whole.extend_from_slice(&data);
+    }
+    assert_eq!(whole, b"data: 1\n\ndata: 2\n\n");
+    let gone = timeout(Duration::from_secs(5), busy.read(&mut [0])).await.expect("let go");
+    assert!(matches!(gone, Ok(0)));
+}
