--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,4 +1,5 @@
-//! A model of the fleet, fed with recorded traffic. So far: what a recording tells of its nodes.
+//! A model of the fleet, fed with recorded traffic. So far: what a recording tells of its nodes,
+//! and how sets of runs are compared.
 //!
 //! `docs/fleet-model.md` weighs the options and says what comes next.
 
@@ -6,4 +7,5 @@
 #![warn(missing_docs)]
 
 pub mod calibrate;
+pub mod compare;
 pub mod estimate;
