--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -626,7 +626,7 @@
         }
         self.names.insert(work.name.clone());
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
-            "expires_in" => ask.expires_in);
+            "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
         let class = self.site.settings.classes.get(ask.class);
         let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
         self.note(|notes| notes.arrival(now, &ask));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,7 @@
 const HOME_MATCH: f64 = 0.85; // part of a prompt that its session's home is presumed to keep at the start
 const HOMES_LEAST: f64 = 2.0; // readers that are homes of a shared text ...
 const HOMES_SPREAD: f64 = 2.0; // ... and this many times its part of the traffic, of all readers
+const COLD_HOME: f64 = 1.5; // a reader's rank falls with this power of the part of it that is warm
 const RECENT: usize = 30; // requests from which that part is told
 const FRESH: Time = 1_000_000; // a report younger than this needs no probe
 const ASKED: usize = 2; // servers asked for their load before a choice ...
@@ -192,6 +193,7 @@
     aim: f64,     // seconds that its class has for the first token
     aim_at: Time,
     worth: f64,
+    homes: BTreeMap<ServerId, f64>, // readers that are presumed to keep some of its prompt, and how much
     attempts: Vec<Attempt>,
     state_at: Option<ServerId>, // the reader that holds its state, and since when no attempt was out
     held_since: Time,
@@ -229,7 +231,7 @@
     }
 }
 
-/// The decisions of one router. Tell it [`Event::Wake`] once after `new`, and at each time that it asks for.
+/// The decisions of one router. Tell it [`Event::Wake`] after `new`, and at each time that it asks for.
 pub struct Router {
     settings: Settings,
     share: f64, // routers that share the servers
@@ -369,10 +371,7 @@
             }
         }
         for entry in entries {
-            let old = self
-                .servers
-                .remove(&entry.server)
-                .unwrap_or_else(|| Server { entry: entry.clone(), ..Server::default() });
+            let old = self.servers.remove(&entry.server).unwrap_or_default();
             let server = if old.entry.started == entry.started {
                 Server { entry, ..old }
             } else {
@@ -390,8 +389,7 @@
         self.home_match.resize(settings.classes.len(), HOME_MATCH);
         let old = |at: usize| self.quota.get(at).map_or((QUOTA_BURST, self.now), |it| (it.1, it.2));
         let tenants = settings.tenants.iter().enumerate();
-        let quota = tenants.map(|(at, it)| (it.quota_per_s / self.share, old(at).0, old(at).1));
-        self.quota = quota.collect();
+        self.quota = tenants.map(|(at, it)| (it.quota_per_s / self.share, old(at).0, old(at).1)).collect();
         self.settings = settings;
     }
 
@@ -407,7 +405,7 @@
     }
 
     /// A failure: too many of them, one in a trial, or one that tells of a dead server set the server aside.
-    /// What all of its peers suffer alike tells nothing of it: setting one after another aside jams the rest.
+    /// What all of its peers suffer alike tells nothing of it.
     fn blame(&mut self, id: ServerId, at_once: bool) {
         let (now, pause) = (self.now, self.pause);
         let usual = self.usual_failing(id);
@@ -466,7 +464,6 @@
         }
     }
 
-    /// Stops waiting for those of a request's attempts that are of no use any more.
     fn cancel_all(&mut self, request: &mut Request, useless: impl Fn(&Attempt) -> bool) {
         for at in 0..request.attempts.len() {
             if request.attempts[at].out && useless(&request.attempts[at]) {
@@ -484,8 +481,7 @@
         self.cancel_all(request, |attempt| attempt.first_at.is_none());
     }
 
-    /// A wait is over: corrects the server; teaches the shared model, but for cold servers. `inputs` are the
-    /// choice's, with what has shown to be otherwise.
+    /// A wait is over: corrects the server; teaches the shared model, but for cold servers.
     fn observed(&mut self, id: RequestId, at: usize, attempt: &Attempt, inputs: &Inputs) {
         let Some(server) = self.servers.get_mut(&attempt.choice.server) else { return };
         server.waiting.remove(&(id, at));
@@ -536,15 +532,15 @@
                     request.state_at = Some(server);
                     self.cancel_all(request, |attempt| attempt.stage == Stage::Read);
                 } else if request.begun {
-                    // A second copy that was read all the same: nobody will take its state. Before the first
-                    // token it must wait, for a release would take the state that a writer is sent for.
+                    // A second copy that was read all the same. Before the first token it must wait, for a
+                    // release would take the state that a writer is sent for.
                     self.act(request, Action::Release { id });
                 }
             }
             Status::Ok => self.streamed(&request.ask, attempt, note),
             Status::Full if note > 0.0 => request.state_at = None,
-            // It may have taken the state. Asking another writer costs an attempt: where that would leave too
-            // few to read anew and write, the state is given up for gone.
+            // It may have taken the state, which is given up where asking another writer first would leave
+            // too few attempts to read anew and write.
             Status::Error | Status::Reset | Status::Stale if attempt.stage == Stage::Write => {
                 let left = self.settings.max_attempts.saturating_sub(request.attempts.len() as u32);
                 request.state_at = request.state_at.filter(|_| left >= 3);
@@ -560,7 +556,7 @@
     }
 
     /// Notes what a reader has read in its table, and corrects what homes are presumed to keep. No more is
-    /// noted than fits into this router's part of the memory: a full reader lets the oldest go.
+    /// noted than fits into a part of the memory: a full reader lets the oldest go.
     fn note_kept(&mut self, ask: &Ask, attempt: &Attempt, found: f64) {
         let Some(server) = self.servers.get_mut(&attempt.choice.server) else { return };
         if attempt.choice.matched > ask.prefix_tokens / ask.prompt.max(1.0) {
@@ -607,6 +603,7 @@
         if request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
             return self.end(request);
         }
+        request.homes = self.homes(&request.ask);
         let mut choices = match request.state_at {
             Some(reader) => self.writers(request, self.servers.get(&reader)),
             None => self.readers(request),
@@ -622,10 +619,9 @@
             choices = self.warm_only(choices, request);
         }
         // What a cold server may get is rationed already: it is used where it fits, or the rest would jam.
-        let rationed = |it: &Choice| {
-            it.chance >= FIT && self.servers[&it.server].warm_share(&self.settings, self.now) < 1.0
-        };
-        if choices.iter().any(rationed) {
+        let rationed = |it: &Choice| it.chance >= FIT && self.is_cold(&self.servers[&it.server]);
+        let by_text = request.state_at.is_none() && !request.homes.is_empty();
+        if !by_text && choices.iter().any(rationed) {
             choices.retain(rationed);
         }
         let Some(choice) = self.draw(choices) else { return };
@@ -636,7 +632,7 @@
     }
 
     /// Asks likely servers for their load before the choice: a router of hundreds hears too seldom from any.
-    /// Probes grow with the requests, not with the routers. True while answers are awaited.
+    /// True while answers are awaited.
     fn asks_first(&mut self, request: &mut Request, choices: &[Choice]) -> bool {
         if request.asked.is_none() && self.settings.may_probe && self.settings.reports != Reports::Never {
             let (now, due) = (self.now, self.now + self.asking(request));
@@ -660,8 +656,8 @@
         ((request.aim * 1e6 * ASKING_PART) as Time).max(2 * self.settings.tick)
     }
 
-    /// Nothing fits and load is above usual: the lowest worth is refused unread, and all that is hopeless.
-    /// Load is told by the best reader's time against the usual, for a router of hundreds has no counts.
+    /// Nothing fits and load is above usual, by the best reader's time: the lowest worth is refused unread,
+    /// and all that is hopeless.
     fn refuses(&mut self, request: &Request, choices: &[Choice]) -> bool {
         let chance = choices.iter().map(|choice| choice.chance).fold(0.0, f64::max);
         let reading = self.models[READ].weights[TOKENS].max(0.0);
@@ -692,27 +688,32 @@
             }),
             _ => (0.0, 1.0),
         };
-        let homes = self.homes(&request.ask);
-        let home = |server: &Server| homes.get(&server.entry.server).copied().unwrap_or(0.0);
+        let home = |server: &Server| request.homes.get(&server.entry.server).copied().unwrap_or(0.0);
         open.into_iter().map(|it| self.reader_choice(request, it, home(it), after(it))).collect()
     }
 
     /// Tokens that readers are presumed to keep of a prompt, where the table can't know: all routers rank the
     /// readers alike by a hash of the text, so that without talk a text comes back to the same part of
-    /// them, and a session to the same one of these.
+    /// them, and a session to the same one of these. A cold one is home to what it can take: texts come to
+    /// it one after another as it warms.
     fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
-        let near = |it: &&Entry| it.role != Role::Writer && it.zone == self.settings.zone;
-        let near = self.servers.values().map(|server| &server.entry).filter(near);
-        let mut homes: Vec<_> = near.filter(|it| it.state == State::Ready).collect();
+        let near = |it: &Entry| it.role != Role::Writer && it.zone == self.settings.zone;
+        let near = |it: &&Server| it.entry.state == State::Ready && near(&it.entry);
+        let rank = |text, it: &Server| {
+            let even = (mix(text, it.entry.key) >> 12) as f64 + 0.5;
+            it.warm_share(&self.settings, self.now).powf(COLD_HOME) / (((1u64 << 52) as f64).ln() - even.ln())
+        };
+        let mut homes: Vec<&Server> = self.servers.values().filter(near).collect();
         if let Some(prefix) = ask.prefix {
-            homes.sort_by_key(|it| std::cmp::Reverse(mix(prefix, it.key)));
+            homes.sort_by(|a, b| rank(prefix, b).total_cmp(&rank(prefix, a)));
             let share = self.recent.iter().filter(|it| **it == prefix).count() as f64 / RECENT as f64;
             homes.truncate((HOMES_LEAST + HOMES_SPREAD * share * homes.len() as f64) as usize);
         }
-        let session = ask.session.and_then(|session| homes.iter().max_by_key(|it| mix(session, it.key)));
-        let first =
-            session.map(|it| (it.server, (self.home_match[ask.class] * ask.prompt).max(ask.prefix_tokens)));
-        homes.iter().map(|it| (it.server, ask.prefix_tokens)).chain(first).collect()
+        let session = |text| homes.iter().max_by(|a, b| rank(text, a).total_cmp(&rank(text, b)));
+        let whole = (self.home_match[ask.class] * ask.prompt).max(ask.prefix_tokens);
+        let first = ask.session.and_then(session).map(|it| (it.entry.server, whole));
+        let shared = homes.iter().map(|it| (it.entry.server, ask.prefix_tokens));
+        shared.chain(first).filter(|(_, tokens)| *tokens > 0.0).collect()
     }
 
     fn reader_choice(&self, request: &Request, server: &Server, home: f64, after: (f64, f64)) -> Choice {
@@ -778,8 +779,8 @@
         }
     }
 
-    /// A reported level carried on by own counts. As the report ages, what is usual in the fleet replaces it,
-    /// with own counts added for as much as they tell: little where this router is one of hundreds.
+    /// A reported level carried on by own counts. As it ages, what is usual in the fleet replaces it, with
+    /// own counts added for as much as they tell: little where this router is one of hundreds.
     fn level(&self, server: &Server, of: usize) -> f64 {
         let own = server.own[of];
         // One that has started of late is empty, however full its peers are: it fills as it warms.
@@ -806,11 +807,10 @@
     }
 
     /// The warm filter with its explore share and its load gate, which opens only towards a reader that fits
-    /// while no warm one does: in a jam, reading texts anew elsewhere would feed the jam.
+    /// well: in a jam, reading texts anew elsewhere would feed the jam.
     fn warm_only(&mut self, mut choices: Vec<Choice>, request: &Request) -> Vec<Choice> {
         let sooner = |a: &&Choice, b: &&Choice| a.predicted.total_cmp(&b.predicted);
-        // After a flush no reader keeps enough of a prompt. Were all taken for equal then, each text would be
-        // read anew at one reader after another, and the fleet would not get back to reading it once.
+        // After a flush no reader keeps enough of a prompt: taken for equal, each would read it anew.
         let most = choices.iter().map(|choice| choice.matched).fold(0.0, f64::max);
         let least = WARM_MATCH * if (SOME_MATCH..WARM_MATCH).contains(&most) { most } else { 1.0 };
         let warm = choices.iter().filter(|choice| choice.matched > least).min_by(sooner);
@@ -823,8 +823,8 @@
         choices
     }
 
-    /// Headroom tiers and the weighted draw. Most headroom is favoured, at writers and at readers: least
-    /// headroom, the default of the design, piles work on the reader nearest to its limit until readers jam.
+    /// Headroom tiers and the weighted draw. Most headroom is favoured: least, the default of the design at
+    /// readers, piles work on the one nearest to its limit until readers jam.
     fn draw(&mut self, mut choices: Vec<Choice>) -> Option<Choice> {
         let fitting = choices.iter().filter(|choice| choice.chance >= FIT).count();
         let fits = fitting > 0 && (fitting == choices.len() || self.rng.gen::<f64>() >= EXPLORE);
@@ -835,8 +835,6 @@
         choices.into_iter().nth(at)
     }
 
-    // The one way out: the rules.
-
     fn send(&mut self, request: &mut Request, stage: Stage, choice: Choice) -> bool {
         let (id, server, sent) = (request.ask.id, choice.server, self.now);
         let allowed = self.servers.get(&server).is_some_and(|server| self.may_send(request, server, stage));
@@ -857,7 +855,6 @@
         true
     }
 
-    /// All that the rules ask of a send.
     fn may_send(&self, request: &Request, server: &Server, stage: Stage) -> bool {
         let live = !request.answered && !request.begun && self.now < request.end_at;
         let tries = (request.attempts.len() as u32) < self.settings.max_attempts.max(1);
@@ -888,30 +885,34 @@
     /// lot, lest a hundred routers make a hundred sends of it; and by each request anew, for where requests
     /// are few a lot that holds for a span mostly lapses, and the cold ones stand idle while the rest jams.
     fn cold_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        if server.warm_share(&self.settings, self.now) >= 1.0 {
+        if !self.is_cold(server) {
             return true;
         }
         let since = self.now.saturating_sub(self.settings.fall);
         let sent = server.sent.iter().filter(|at| **at >= since).count() as f64;
         let span = NEWEST * self.settings.fall as f64 / REFIT as f64;
-        // Before any send there is no telling: one is presumed, that goes to all of them alike.
-        let borne = self.borne[side(stage)] + 1.0 / self.bearing(stage);
+        let borne = self.borne[side(stage)] + 1.0 / self.bearing(stage); // one is presumed, as in `started`
         let able = COLD_PART * self.settings.fall_multiple * self.settings.cold_from * span * borne;
-        // One that waits draws again after each span.
+        // One that waits draws again after each span. Texts draw none: a cold reader is home to its part.
         let times = request.end_at.saturating_sub(self.now) / self.settings.fall.max(1);
-        let lot =
-            mix(mix(request.ask.id ^ self.salt, times), server.entry.server.into()) as f64 / u64::MAX as f64;
-        let spare = able - sent;
+        let drawn = mix(mix(request.ask.id ^ self.salt, times), server.entry.server.into());
+        let home = u64::from(!request.homes.contains_key(&server.entry.server)) * u64::MAX;
+        let lot = if stage == Stage::Write || request.homes.is_empty() { drawn } else { home };
+        let (lot, spare) = (lot as f64 / u64::MAX as f64, able - sent);
         spare >= 1.0 || lot * span * (self.started[side(stage)] + 1.0) < spare
     }
 
+    fn is_cold(&self, server: &Server) -> bool {
+        server.age(&self.settings, self.now) < 1.0
+    }
+
     /// Servers that bear the load of a stage. Those that drain or are cold bear none that would tell; where
     /// no other does, the cold ones do.
     fn bearing(&self, stage: Stage) -> f64 {
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
         let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
         let bearing = self.servers.values().filter(ready);
-        let warm = bearing.clone().filter(|it| it.warm_share(&self.settings, self.now) >= 1.0).count();
+        let warm = bearing.clone().filter(|it| !self.is_cold(it)).count();
         if warm > 0 {
             warm as f64
         } else {
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -314,3 +314,38 @@
     let at_it = (1_000..1_060).filter(|id| read(&mut desk, *id, *id, 2_000.0, false, false) == 1).count();
     assert!(at_it >= 15, "{at_it} of 60 went to the reader that was flushed");
 }
+
+/// Where each text goes in a fleet of six readers, two of them started anew `age` ago.
+fn homes_with_cold_readers(age: Time) -> Vec<Option<ServerId>> {
+    let cold = |id| Entry { started: Some(20 * SECOND), ..server(id, Role::Reader) };
+    let readers = (1..=4).map(|id| server(id, Role::Reader)).chain([cold(5), cold(6)]);
+    let fleet: Vec<_> = readers.chain([server(12, Role::Writer)]).collect();
+    let text = |text: u64| {
+        // One router a text, and one in a hundred: none has sent to a cold reader before.
+        let thin = Settings { balancers: 100, ..settings(vec![class(1.0, Effect::Safe)]) };
+        let mut desk = Desk::new(thin, fleet.clone());
+        desk.now = 20 * SECOND + age;
+        let ask = Ask {
+            prefix: Some(quartzhall::settings::hash(&text.to_string())),
+            prefix_tokens: 1_800.0,
+            ..ask(text, text)
+        };
+        sent_to(&desk.ask(ask), text)
+    };
+    (0..400).map(text).collect()
+}
+
+/// A cold reader was let in by a lot that knew nothing of texts: nineteen in twenty requests whose text was at home
+/// there were read anew wherever there was room, and what readers keep was pushed out everywhere.
+#[test]
+fn texts_come_to_a_cold_reader_one_after_another_as_it_warms() {
+    let young = homes_with_cold_readers(0);
+    let older = homes_with_cold_readers(5 * SECOND);
+    let at_cold = |homes: &[Option<ServerId>]| homes.iter().filter(|home| **home > Some(4)).count();
+    let (few, more) = (at_cold(&young), at_cold(&older));
+    assert!((20..=90).contains(&few), "{few} of 400 texts went to cold readers at once");
+    assert!(more > few + 15, "{few}, then {more} of 400 texts went to readers that warm");
+    let moved =
+        young.iter().zip(&older).filter(|(young, older)| young != older && **older <= Some(4)).count();
+    assert!(moved < 40, "{moved} texts went from one warm reader to another");
+}
