Spread calls for the list and back off by the number of dispatchers

No dispatcher learned of the release; at 25 s they sent 60 to 100 requests a second to replicas that were gone, and nothing was served any more.

Cause: discovery.rs, follow: each failed call was repeated after 100 ms, by all. With pauses of 0.2 to 3 s still none of 1,600 was answered: 15 to 20 a second waited 2.0 s and failed, the others were turned away within 5 ms. That is a queue as long as its patience; each call expires as its turn comes. Without the full list at the start 40 of the first 100 calls were served, so it does 20 a second. Full lists were given up after 1 s (LATE), before their turn, and watches after 5 s, though 2 s of queue and 4 s of hold are 6.

Changed: a new module backoff: first calls are spread and pauses grow with the number of callers; the watch goes on from the known list's revision; calls wait 2.5 s longer than they hold. Where changes are pushed, nothing is spread. Ruled out: a limit on watches as such (all 100 are served once the calls come at 16 a second; no failed call is left).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -3,6 +3,7 @@
 //! The agent may be silent or talk nonsense; both are logged and tried again, and the list held stays valid.
 
 use crate::api::{Entry, State};
+use crate::backoff::Backoff;
 use crate::dispatch::{Door, Event, Member};
 use crate::settings::{MemberLine, MemberList, Site};
 use bytes::Bytes;
@@ -19,9 +20,10 @@
 
 /// How long a watch waits for something new.
 const HOLD: Duration = Duration::from_secs(4);
-/// An agent that has not answered so long after it should have is silent: the call is made again.
-const LATE: Duration = Duration::from_millis(1000);
-/// Between a failed call and the next.
+/// An agent that has not answered so long after it should have is silent: the call is made again. Where discovery
+/// has much to do a call waits its turn, and one that is given up has cost as much as one that was answered.
+const LATE: Duration = Duration::from_millis(2500);
+/// Between a call that nobody answered and the next: nobody is worse off for it.
 const RETRY: Duration = Duration::from_millis(100);
 /// A list is not read beyond this.
 const LONGEST: usize = 4 * 1024 * 1024;
@@ -69,44 +71,67 @@
     Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector)
 }
 
-async fn call(agent: &Agent, address: &str, target: &str) -> Result<MemberList, String> {
+/// Why there is no list.
+enum Failure {
+    /// An answer that is none.
+    Answered(String),
+    /// Nobody answered.
+    Silent(String),
+}
+
+async fn call(agent: &Agent, address: &str, target: &str) -> Result<MemberList, Failure> {
+    let silent = |error: &dyn std::fmt::Display| Failure::Silent(error.to_string());
     let request = Request::get(format!("http://{address}{target}")).body(Empty::new());
-    let response = agent.request(request.map_err(|it| it.to_string())?).await;
-    let response = response.map_err(|error| error.to_string())?;
+    let response = agent.request(request.map_err(|error| silent(&error))?).await;
+    let response = response.map_err(|error| silent(&error))?;
     let status = response.status();
     let body = Limited::new(response.into_body(), LONGEST).collect().await;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let body = body.map_err(|error| silent(&error))?.to_bytes();
     if status != StatusCode::OK {
-        return Err(format!("status {status}"));
+        return Err(Failure::Answered(format!("status {status}")));
     }
-    parse(&body)
+    parse(&body).map_err(Failure::Answered)
 }
 
 /// Watches discovery for as long as the dispatcher runs, at the address that it was last told of.
-pub async fn run(mut address: watch::Receiver<String>, mut site: Site, door: Door, log: Logger) {
+/// `seed` is this dispatcher's own; `known` the revision of the list that it has, if it has one.
+pub async fn run(
+    mut address: watch::Receiver<String>, mut site: Site, seed: u64, mut known: Option<u64>, door: Door,
+    log: Logger,
+) {
+    let mut backoff = Backoff::new(site.settings.balancers, seed);
+    // Where lists must be asked for, that costs discovery work, and all that were ended together start together.
+    if site.settings.must_watch && known.is_some() {
+        sleep(backoff.first()).await;
+    }
     loop {
         let now = address.borrow_and_update().clone();
         tokio::select! {
             // The sender is gone: the address is the last one.
             Ok(()) = address.changed() => info!(log, "discovery has moved"),
-            () = follow(&now, &mut site, &door, &log) => return,
+            () = follow(&now, &mut site, known, &mut backoff, &door, &log) => return,
         }
+        // Another agent's revisions need not be this one's.
+        known = None;
+        backoff.succeeded();
     }
 }
 
-/// Watches one address, from a full list on: another agent's revisions need not be this one's. Its connections
-/// end with it.
-async fn follow(address: &str, site: &mut Site, door: &Door, log: &Logger) {
+/// Watches one address, from the revision that is known on, or from a full list. Its connections end with it.
+async fn follow(
+    address: &str, site: &mut Site, known: Option<u64>, backoff: &mut Backoff, door: &Door, log: &Logger,
+) {
     let agent = agent();
-    let mut revision: Option<u64> = None;
+    let mut revision = known;
     loop {
         let (target, patience) = match revision {
             None => ("/v1/endpoints".to_owned(), LATE),
             Some(from) => (format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()), HOLD + LATE),
         };
         let called = timeout(patience, call(&agent, address, &target)).await;
-        match called.unwrap_or_else(|_| Err("no answer in time".into())) {
+        match called.unwrap_or_else(|_| Err(Failure::Silent("no answer in time".into()))) {
             Ok(list) => {
+                backoff.succeeded();
                 debug!(log, "a list"; "revision" => list.revision, "complete" => list.complete,
                     "members" => list.members.len());
                 let same = revision == Some(list.revision) && list.members.is_empty() && !list.complete;
@@ -115,10 +140,14 @@
                     door.tell(members(site, &list, log)).await;
                 }
             }
-            Err(error) => {
-                warn!(log, "discovery failed"; "error" => error);
+            Err(failure) => {
+                let (error, pause) = match failure {
+                    Failure::Answered(error) => (error, backoff.pause()),
+                    Failure::Silent(error) => (error, RETRY),
+                };
+                warn!(log, "discovery failed"; "error" => error, "again_in_ms" => pause.as_millis() as u64);
                 door.tell(Event::ListFailed).await;
-                sleep(RETRY).await;
+                sleep(pause).await;
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod backoff;
 pub mod bans;
 pub mod discovery;
 pub mod dispatch;
--- a/src/main.rs
+++ b/src/main.rs
@@ -240,9 +240,12 @@
     let mut members_site = Site::new(&config.settings)?;
     let known = config.known.as_ref().map(|known| discovery::members(&mut members_site, known, &log));
     // A successor hears discovery first: what it was told at its start may be as old as its predecessor.
-    let mut known_later = None;
+    let (mut known_later, mut revision) = (None, None);
     match known {
-        Some(known) if !view.predecessor => core.hear(clock.now(), known),
+        Some(known) if !view.predecessor => {
+            core.hear(clock.now(), known);
+            revision = config.known.as_ref().filter(|known| known.complete).map(|known| known.revision);
+        }
         known => known_later = known,
     }
     if view.predecessor {
@@ -274,7 +277,7 @@
     ));
     vital.spawn(dispatch::run(core, clock, inbox, commands, recorder));
     let (set_discovery, discovery) = watch::channel(config.discovery);
-    vital.spawn(discovery::run(discovery, members_site, door.clone(), log.clone()));
+    vital.spawn(discovery::run(discovery, members_site, seed, revision, door.clone(), log.clone()));
     vital.spawn(reload::run(file, text, hangup, door.clone(), set_discovery, log.clone()));
     if let Some(at) = management_listener {
         // Operators are answered to the very end.
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -228,6 +228,27 @@
     assert_eq!(end(running).await.code(), Some(0));
 }
 
+/// The list of the configuration is watched on from its revision: a full list costs discovery work at each start, and all of
+/// a fleet start together.
+#[tokio::test]
+async fn it_watches_from_the_revision_that_it_was_given() {
+    let known = r#"{"revision":41,"complete":true,"members":[
+        {"id":"r","host_port":"127.0.0.1:1","locality":"east","flavor":"prefill","phase":"Ready"},
+        {"id":"w","host_port":"127.0.0.1:2","locality":"east","flavor":"decode","phase":"Ready"}]}"#;
+    let (discovery, asked) = discovery_with(41, "").await;
+    let listen = free_address().await;
+    let file = File::new("known", &config(&listen, &discovery, known));
+    let mut command = Command::new(PROGRAM);
+    let running = Running(command.args(["serve", "--config"]).arg(&file.0).spawn().unwrap());
+    until_ready(&listen, "200").await;
+    while asked.lock().unwrap().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    assert!(asked.lock().unwrap()[0].starts_with("/v1/endpoints?from=41&"), "{asked:?}");
+    signal(&running, "TERM");
+    assert_eq!(end(running).await.code(), Some(0));
+}
+
 /// A file from which nothing may be taken: its discovery is not asked, its classes are not known.
 #[tokio::test]
 async fn of_a_broken_file_nothing_is_taken_at_sighup() {
