Dispatchers tell each other of failures and surprising loads; copies are read at home

Need: with a hundred dispatchers one hears of a server every half minute. New: hearsay (pure) decides what is told and what a message means, peers carries datagrams, the module hears of loads and failures.

A trace of texts showed each of 110 shared texts read at 7 to 10 of 16 readers by 24 s, 62 to 80% of one that an old reader had read before still found there: readers' memory did not hold that. 40 to 50 second copies a second went wherever there was room. Now they go to a text's other homes. A shared text with one home at least in place of two: no better.

--- a/src/api.rs
+++ b/src/api.rs
@@ -167,7 +167,7 @@
 }
 
 /// A load report; every value may be missing.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Requests it holds.
     pub in_flight: Option<f64>,
@@ -281,6 +281,13 @@
     },
     /// A time that was asked for by [`Action::Wake`] has come.
     Wake,
+    /// What another router has told of a server.
+    Heard {
+        /// The server.
+        server: ServerId,
+        /// Its load; without one, an attempt there has failed.
+        load: Option<Load>,
+    },
     /// A probe's answer.
     Probed {
         /// The server.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crate::api::{self, Action, Ask, Effect, Entry, Load, RequestId, Role, ServerId, State, Status, Time};
 use crate::bans::{Bans, Marks, Refusal};
+use crate::hearsay::{self, Hearsay};
 use crate::moving::Half;
 use crate::notes::Notes;
 use crate::places::PARTS;
@@ -138,6 +139,13 @@
         /// Its load, where it was told.
         load: Option<Load>,
     },
+    /// A message from another dispatcher.
+    Peer {
+        /// Its number.
+        from: usize,
+        /// As it came.
+        message: Bytes,
+    },
     /// The list of members, whole or what changed in it.
     Members {
         /// Members that are absent are gone.
@@ -423,6 +431,7 @@
     draining: bool,
     commands: Vec<Command>,
     notes: Option<Notes>,
+    hearsay: Option<Hearsay>,
     log: Logger,
 }
 
@@ -452,6 +461,7 @@
             draining: false,
             commands: Vec::new(),
             notes: None,
+            hearsay: None,
             log,
         };
         core.step(now, api::Event::Wake);
@@ -463,6 +473,44 @@
         self.notes = Some(notes);
     }
 
+    /// Tells other dispatchers things from now on, and hears them.
+    pub fn take_hearsay(&mut self, hearsay: Hearsay) {
+        self.hearsay = Some(hearsay);
+    }
+
+    /// What other dispatchers are to be told now.
+    pub fn to_tell(&mut self, now: Time) -> Option<Bytes> {
+        self.hearsay.as_mut()?.message(now).map(Bytes::from)
+    }
+
+    /// A message from another dispatcher. Servers that are not listed here, and keys that two have, tell nothing.
+    fn peer(&mut self, now: Time, from: usize, message: &[u8]) {
+        let Some(words) = self.hearsay.as_mut().map(|hearsay| hearsay.hear(now, from, message)) else {
+            return;
+        };
+        let words = words.unwrap_or_else(|why| {
+            debug!(self.log, "a message was dropped"; "from" => from, "why" => ?why);
+            Vec::new()
+        });
+        for word in words {
+            let mut named = self.nodes.iter().filter(|(_, it)| hearsay::key(it.listed.key) == word.key);
+            let (Some((server, _)), None) = (named.next(), named.next()) else { continue };
+            let (server, load) = (*server, word.load);
+            self.hearsay.iter_mut().for_each(|hearsay| hearsay.heard(now, server, &word));
+            self.step(now, api::Event::Heard { server, load });
+        }
+    }
+
+    /// What an attempt or a probe has shown of a server, for the others.
+    fn tell(&mut self, now: Time, server: ServerId, failed: bool, load: Option<&Load>) {
+        let node = self.nodes.get(&server).map(|node| node.listed.key);
+        let (Some(hash), Some(hearsay)) = (node, &mut self.hearsay) else { return };
+        load.into_iter().for_each(|load| hearsay.report(now, server, hash, load));
+        if failed {
+            hearsay.failure(hash);
+        }
+    }
+
     /// What was noted since the last call.
     pub fn notes(&mut self) -> Vec<Record> {
         self.notes.as_mut().map(Notes::take).unwrap_or_default()
@@ -496,7 +544,11 @@
                 }
                 self.settle(now, id);
             }
-            Event::Probed { server, ok, load } => self.step(now, api::Event::Probed { server, ok, load }),
+            Event::Probed { server, ok, load } => {
+                self.tell(now, server, false, load.as_ref());
+                self.step(now, api::Event::Probed { server, ok, load });
+            }
+            Event::Peer { from, message } => self.peer(now, from, &message),
             Event::Members { complete, members } => self.members(now, complete, members),
             Event::ListFailed => self.step(now, api::Event::ListFailed),
             Event::Ban { name, banned, answer } => {
@@ -625,6 +677,7 @@
             return;
         }
         self.names.insert(work.name.clone());
+        self.hearsay.iter_mut().for_each(Hearsay::request);
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
             "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
         let class = self.site.settings.classes.get(ask.class);
@@ -720,6 +773,8 @@
         let closed = self.requests.get(&id).is_some_and(|held| held.closed);
         debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
             "status" => ?status, "note" => note, "closed" => closed);
+        let failed = matches!(status, Status::Reset | Status::Error | Status::ConnectFailed);
+        self.tell(now, server, failed, load.as_ref());
         self.step(now, api::Event::Outcome { id, attempt, server, status, closed, note, load });
         self.settle(now, id);
     }
@@ -820,6 +875,7 @@
             let Some(node) = self.nodes.remove(&server) else { continue };
             self.numbers.remove(&node.name);
             self.bans.has_left(node.name);
+            self.hearsay.iter_mut().for_each(|hearsay| hearsay.keep(|it| it != server));
             self.note(|notes| notes.node_gone(server));
             if self.nodes.values().all(|other| other.address != node.address) {
                 self.commands.push(Command::Bar { address: node.address, barred: false });
@@ -1034,10 +1090,11 @@
     (door, inbox)
 }
 
-/// The task that owns the core: it ends when every door is gone. What the core notes goes to the recorder.
+/// The task that owns the core: it ends when every door is gone. What the core notes goes to the recorder, what it has
+/// to tell to `others`.
 pub async fn run(
     mut core: Core, clock: Clock, mut inbox: Inbox, commands: mpsc::Sender<Command>,
-    recorder: Option<Recorder>,
+    recorder: Option<Recorder>, others: Option<mpsc::Sender<Bytes>>,
 ) {
     loop {
         let due = core.due().map(|at| clock.instant(at));
@@ -1066,6 +1123,9 @@
                 return;
             }
         }
+        if let (Some(others), Some(message)) = (&others, core.to_tell(now)) {
+            let _ = others.try_send(message); // where it would have to wait it is not worth it
+        }
         if let Some(recorder) = &recorder {
             core.notes().into_iter().for_each(|note| recorder.note(note));
         }
--- /dev/null
+++ b/src/hearsay.rs
@@ -0,0 +1,299 @@
+//! What dispatchers tell each other of servers, and what such a message means. Pure: `peers` carries the bytes.
+//!
+//! One of a hundred dispatchers hears from a server every half minute, and all together several times a second. So each
+//! tells the others what would surprise them: a load far from what was last told of that server, and failures. What that
+//! costs is bounded by the price in the settings and by the own requests. A message is a mark, the time it was sent at, and
+//! five bytes a server; one that is spoilt, late, or no newer than the last of its sender changes nothing and is counted.
+
+use crate::api::{Load, ServerId, Time};
+use std::collections::BTreeMap;
+
+/// The first byte of a message: what it is, and its version.
+const MARK: u8 = 0xA1;
+/// A message: the mark and its time, in hundredths of a second.
+const HEAD: usize = 3;
+const TICK: Time = 10_000;
+/// What is told of a server: three bytes of its name's hash, requests in flight or [`FAILED`], share of memory.
+const NOTE: usize = 5;
+/// In place of the requests in flight: an attempt there has failed.
+const FAILED: u8 = u8::MAX;
+const MOST_IN_FLIGHT: f64 = 254.0;
+const MEMORY_SCALE: f64 = 250.0;
+/// The longest datagram that the protocol allows.
+pub const LONGEST: usize = 256;
+/// A message older than this tells nothing any more, in hundredths of a second; nor one from the future.
+const OLDEST: i16 = 200;
+const NEWEST: i16 = -20;
+/// What was last told of a server is believed for so long; then, what is usual.
+const BELIEVED: Time = 3_000_000;
+/// Told is a load that is off by so many requests, and by this part of what is believed.
+const OFF: f64 = 2.0;
+const OFF_PART: f64 = 0.5;
+/// So much of a request's worth may be spent on telling, and so many requests' part be saved up.
+const SPENT: f64 = 0.01;
+const SAVED: f64 = 4.0;
+/// The price of a full message to one receiver, where the settings name none.
+const LEAST_PRICE: f64 = 1e-4;
+
+/// What one message says of one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Word {
+    /// The lowest 24 bits of the hash of the server's name.
+    pub key: u32,
+    /// Its load; without one, an attempt there has failed.
+    pub load: Option<Load>,
+}
+
+/// Why a message changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// It is none of ours, or spoilt.
+    Spoilt,
+    /// It was sent too long ago, or later than now.
+    Stale,
+    /// Its sender has sent this one or a newer one before.
+    Repeated,
+}
+
+/// The key by which a server is told of.
+pub fn key(hash: u64) -> u32 {
+    (hash & 0x00ff_ffff) as u32
+}
+
+/// What this dispatcher believes that others believe, and what it may still tell them.
+pub struct Hearsay {
+    receivers: f64,
+    earned: f64, // bytes for each own request
+    left: f64,
+    believed: BTreeMap<ServerId, (f64, Time)>,
+    usual: f64,
+    last: Vec<Option<u16>>, // by sender
+    pending: BTreeMap<(u32, bool), [u8; NOTE]>,
+    dropped: u64,
+}
+
+impl Hearsay {
+    /// For a fleet of so many dispatchers, where a full message costs `price` points for each receiver and request.
+    pub fn new(dispatchers: usize, price: f64) -> Self {
+        let receivers = dispatchers.saturating_sub(1).max(1) as f64;
+        let earned = SPENT / price.max(LEAST_PRICE) * LONGEST as f64 / receivers;
+        Hearsay {
+            receivers,
+            earned,
+            left: earned,
+            believed: BTreeMap::new(),
+            usual: 0.0,
+            last: vec![None; dispatchers],
+            pending: BTreeMap::new(),
+            dropped: 0,
+        }
+    }
+
+    /// A request has come: a little more may be told.
+    pub fn request(&mut self) {
+        let most = (SAVED * self.earned).max((HEAD + NOTE) as f64);
+        self.left = (self.left + self.earned).min(most);
+    }
+
+    /// Messages that changed nothing.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn believe(&mut self, now: Time, server: ServerId, in_flight: f64) -> f64 {
+        let before = self.believed.insert(server, (in_flight, now)).filter(|(_, at)| at + BELIEVED > now);
+        let usual = self.usual;
+        self.usual += 0.05 * (in_flight - usual);
+        before.map_or(usual, |(before, _)| before)
+    }
+
+    /// A server's own report; it is told on if it would surprise the others.
+    pub fn report(&mut self, now: Time, server: ServerId, hash: u64, load: &Load) {
+        let Some(in_flight) = load.in_flight.filter(|it| *it >= 0.0) else { return };
+        let before = self.believe(now, server, in_flight);
+        let off = (in_flight - before).abs();
+        if self.receivers >= 1.0 && off > OFF && off > OFF_PART * before {
+            let memory = load.memory.unwrap_or(0.0).clamp(0.0, 1.0) * MEMORY_SCALE;
+            self.note(key(hash), in_flight.min(MOST_IN_FLIGHT).round() as u8, memory.round() as u8);
+        }
+    }
+
+    /// An attempt has failed by its server's fault.
+    pub fn failure(&mut self, hash: u64) {
+        self.note(key(hash), FAILED, 0);
+    }
+
+    fn note(&mut self, key: u32, what: u8, memory: u8) {
+        let [_, a, b, c] = key.to_be_bytes();
+        if self.pending.len() < (LONGEST - HEAD) / NOTE {
+            self.pending.insert((key, what == FAILED), [a, b, c, what, memory]);
+        }
+    }
+
+    /// What is to be told now. What can't be afforded is not told later either: it would be old.
+    pub fn message(&mut self, now: Time) -> Option<Vec<u8>> {
+        let pending = std::mem::take(&mut self.pending);
+        let affordable = ((self.left - HEAD as f64) / NOTE as f64).max(0.0) as usize;
+        // Failures come first: they are rarer, and nobody else may have seen them.
+        let mut notes: Vec<_> = pending.into_iter().collect();
+        notes.sort_by_key(|((_, failed), _)| !failed);
+        notes.truncate(affordable);
+        if notes.is_empty() {
+            return None;
+        }
+        let mut message = vec![MARK];
+        message.extend(((now / TICK) as u16).to_be_bytes());
+        message.extend(notes.iter().flat_map(|(_, note)| note));
+        self.left -= message.len() as f64;
+        Some(message)
+    }
+
+    /// What a message from another dispatcher says.
+    pub fn hear(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Word>, Dropped> {
+        let read = self.read(now, from, message);
+        self.dropped += u64::from(read.is_err());
+        read
+    }
+
+    fn read(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Word>, Dropped> {
+        let (head, notes) = message.split_at_checked(HEAD).ok_or(Dropped::Spoilt)?;
+        let spoilt =
+            head[0] != MARK || notes.is_empty() || notes.len() % NOTE != 0 || message.len() > LONGEST;
+        let last = self.last.get_mut(from).filter(|_| !spoilt).ok_or(Dropped::Spoilt)?;
+        let sent = u16::from_be_bytes([head[1], head[2]]);
+        let age = ((now / TICK) as u16).wrapping_sub(sent) as i16;
+        if !(NEWEST..=OLDEST).contains(&age) {
+            return Err(Dropped::Stale);
+        }
+        // A time of long ago looks new again after some minutes: only what lies shortly before is a repeat.
+        let before = last.map(|last| sent.wrapping_sub(last) as i16);
+        if before.is_some_and(|newer| (-2 * OLDEST..=0).contains(&newer)) {
+            return Err(Dropped::Repeated);
+        }
+        *last = Some(sent);
+        let word = |note: &[u8]| {
+            let load = (note[3] != FAILED).then(|| Load {
+                in_flight: Some(f64::from(note[3])),
+                memory: Some((f64::from(note[4]) / MEMORY_SCALE).min(1.0)),
+                ..Load::default()
+            });
+            Word { key: u32::from_be_bytes([0, note[0], note[1], note[2]]), load }
+        };
+        Ok(notes.chunks_exact(NOTE).map(word).collect())
+    }
+
+    /// A word is taken: what others now believe of this server.
+    pub fn heard(&mut self, now: Time, server: ServerId, word: &Word) {
+        if let Some(in_flight) = word.load.as_ref().and_then(|load| load.in_flight) {
+            self.believe(now, server, in_flight);
+        }
+    }
+
+    /// Servers that are gone are forgotten.
+    pub fn keep(&mut self, known: impl Fn(ServerId) -> bool) {
+        self.believed.retain(|server, _| known(*server));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::{Gen, QuickCheck};
+
+    const START: Time = 1_700_000_000_000_000;
+
+    fn load(in_flight: f64) -> Load {
+        Load { in_flight: Some(in_flight), memory: Some(0.5), ..Load::default() }
+    }
+
+    fn hearsay() -> Hearsay {
+        Hearsay::new(100, 0.0028)
+    }
+
+    fn told(of: &mut Hearsay, now: Time) -> Vec<u8> {
+        (0..20).for_each(|_| of.request());
+        of.message(now).unwrap_or_default()
+    }
+
+    #[test]
+    fn a_surprise_is_told_and_what_is_as_believed_is_not() {
+        let (mut one, mut other) = (hearsay(), hearsay());
+        one.report(START, 7, 0xabcdef12, &load(1.0));
+        assert_eq!(told(&mut one, START), []);
+        one.report(START, 7, 0xabcdef12, &load(30.0));
+        let message = told(&mut one, START);
+        let words = other.hear(START + 30_000, 4, &message).unwrap();
+        assert_eq!(words, [Word { key: 0xcdef12, load: Some(load(30.0)) }]);
+        other.heard(START + 30_000, 3, &words[0]);
+        other.report(START + 40_000, 3, 0xabcdef12, &load(29.0));
+        assert_eq!(told(&mut other, START + 40_000), [], "all have heard that");
+        one.report(START + BELIEVED + 1, 7, 0xabcdef12, &load(30.0));
+        assert_ne!(told(&mut one, START + BELIEVED + 1), [], "what was told long ago is told again");
+    }
+
+    #[test]
+    fn failures_come_first_where_not_all_can_be_afforded() {
+        let (mut one, mut other) = (hearsay(), hearsay());
+        (0..20).for_each(|server| one.report(START, server, u64::from(server), &load(50.0)));
+        one.failure(99);
+        (0..4).for_each(|_| one.request());
+        let words = other.hear(START, 0, &one.message(START).unwrap()).unwrap();
+        assert!(words.len() < 10 && words[0] == Word { key: 99, load: None }, "{words:?}");
+        one.failure(99);
+        assert_eq!(one.message(START), None, "nothing is left to spend");
+    }
+
+    #[test]
+    fn telling_costs_no_more_than_its_part_of_the_requests() {
+        let mut one = hearsay();
+        let mut bytes = 0;
+        for request in 0..1000 {
+            one.request();
+            (0..50).for_each(|server| {
+                one.report(START + request, server, server.into(), &load((request % 2 * 80) as f64))
+            });
+            bytes += one.message(START + request).map_or(0, |message| message.len());
+        }
+        let cost = bytes as f64 * 99.0 / 256.0 * 0.0028 / 1000.0;
+        assert!((0.005..=0.0101).contains(&cost), "{cost} a request");
+    }
+
+    #[test]
+    fn what_is_spoilt_stale_or_repeated_is_dropped_and_counted() {
+        let (mut one, mut other) = (hearsay(), hearsay());
+        one.failure(5);
+        let message = told(&mut one, START);
+        assert_eq!(other.hear(START + 3_000_000, 1, &message), Err(Dropped::Stale));
+        assert_eq!(other.hear(START - 1_000_000, 1, &message), Err(Dropped::Stale));
+        assert!(other.hear(START + 1_000_000, 1, &message).is_ok());
+        assert_eq!(other.hear(START + 1_100_000, 1, &message), Err(Dropped::Repeated));
+        assert!(other.hear(START + 1_100_000, 2, &message).is_ok(), "another has the same time");
+        assert_eq!(other.hear(START, 100, &message), Err(Dropped::Spoilt), "an unknown sender");
+        for cut in 0..message.len() {
+            assert_eq!(other.hear(START, 3, &message[..cut]), Err(Dropped::Spoilt));
+        }
+        assert_eq!(other.dropped(), 4 + message.len() as u64);
+    }
+
+    #[test]
+    fn garbage_is_dropped_or_read_within_bounds() {
+        fn holds(bytes: Vec<u8>, stamp: u16) -> bool {
+            let mut message = vec![MARK];
+            message.extend(stamp.to_be_bytes());
+            message.extend(&bytes);
+            let all = |message: &[u8]| {
+                hearsay().hear(START, 1, message).into_iter().flatten().all(|word| {
+                    let load = word.load.unwrap_or_default();
+                    word.key <= 0x00ff_ffff
+                        && load.in_flight.unwrap_or(0.0) <= MOST_IN_FLIGHT
+                        && load.memory.unwrap_or(0.0) <= 1.0
+                })
+            };
+            all(&message) && all(&bytes)
+        }
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(300, 7))
+            .tests(500)
+            .quickcheck(holds as fn(Vec<u8>, u16) -> bool);
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -211,7 +211,6 @@
     }
 }
 
-/// A server that a request could go to.
 #[derive(Default)]
 struct Choice {
     server: ServerId,
@@ -320,6 +319,12 @@
                 self.told_load(server, load);
                 self.with(id, |it, request| it.outcome(request, attempt as usize, status, closed, note));
             }
+            Event::Heard { server, load } => {
+                self.told_load(server, load);
+                if let Some(server) = self.servers.get_mut(&server).filter(|_| load.is_none()) {
+                    blend(&mut server.failing, 1.0);
+                }
+            }
             Event::Gone { id } => self.with(id, |it, request| {
                 request.answered = true;
                 it.end(request);
@@ -347,7 +352,7 @@
         out.append(&mut self.out);
     }
 
-    /// Does something with a request; then lets go of what it needs no more and sets when it is due next.
+    /// Does something with a request, then sets when it is due next.
     fn with(&mut self, id: RequestId, act: impl FnOnce(&mut Self, &mut Request)) {
         let Some(mut request) = self.requests.remove(&id) else { return };
         self.due.remove(&(request.due, id));
@@ -404,8 +409,7 @@
         }
     }
 
-    /// A failure: too many of them, one in a trial, or one that tells of a dead server set the server aside.
-    /// What all of its peers suffer alike tells nothing of it.
+    /// Too many failures, one in a trial, or one that tells of a dead server set the server aside.
     fn blame(&mut self, id: ServerId, at_once: bool) {
         let (now, pause) = (self.now, self.pause);
         let usual = self.usual_failing(id);
@@ -585,7 +589,6 @@
         self.models[PACE].learn(&attempt.choice.inputs, took / self.tokens(ask).max(1.0));
     }
 
-    /// Tokens that an answer is likely to have.
     fn tokens(&self, ask: &Ask) -> f64 {
         match (ask.hint, self.settings.classes[ask.class].token_aim) {
             (Some(hint), aim) if hint > 0 && aim > 0 => hint as f64 / aim as f64,
@@ -593,7 +596,6 @@
         }
     }
 
-    /// Sends a request to where it goes next, refuses it, or keeps it for a later try.
     fn place(&mut self, request: &mut Request) {
         // A state may be taken while a second read is still out.
         let waits = |it: &Attempt| it.out && (it.stage != Stage::Read || request.state_at.is_none());
@@ -651,7 +653,6 @@
         request.asked.is_some_and(|due| self.now < due)
     }
 
-    /// How long answers to probes are waited for; a server that has not answered by then is silent.
     fn asking(&self, request: &Request) -> Time {
         ((request.aim * 1e6 * ASKING_PART) as Time).max(2 * self.settings.tick)
     }
@@ -675,7 +676,6 @@
         wait > self.usual + ABOVE_USUAL * request.aim && (request.worth <= lowest || chance < HOPELESS)
     }
 
-    /// Readers, and mixed servers for whole requests.
     fn readers(&self, request: &Request) -> Vec<Choice> {
         let open = self.open(request, Stage::Read, |role| role != Role::Writer);
         // The writer that would be best after each reader: seconds to the first token there, and its chance.
@@ -939,7 +939,6 @@
         allowed
     }
 
-    /// When a request is looked at next.
     fn due_at(&self, request: &Request) -> Time {
         if request.answered || request.begun {
             return Time::MAX;
@@ -949,7 +948,6 @@
         checks.fold(request.end_at.min(retry_at), Time::min)
     }
 
-    /// When an attempt that has not answered is overdue.
     fn check_at(&self, attempt: &Attempt) -> Time {
         if !attempt.out || attempt.checked || attempt.stage == Stage::Whole {
             return Time::MAX;
@@ -980,7 +978,9 @@
         let writes = request.attempts[at].stage == Stage::Write;
         let reader = request.state_at.and_then(|reader| self.servers.get(&reader));
         let mut choices = if writes { self.writers(request, reader) } else { self.readers(request) };
-        choices.retain(|choice| choice.server != server && choice.chance >= FIT);
+        // A text that is read where it has no home pushes out what others come back for.
+        let home = |it: ServerId| writes || request.homes.len() < 2 || request.homes.contains_key(&it);
+        choices.retain(|it| it.server != server && it.chance >= FIT && home(it.server));
         let Some(choice) = self.draw(choices) else { return };
         self.spare -= 1.0;
         if writes {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,9 @@
 use quartzhall::fronts::{health, listener, management, platform, websocket, Course};
 use quartzhall::handover::shares::Phase;
 use quartzhall::handover::{self, Handover, Limits, View};
+use quartzhall::hearsay::Hearsay;
 use quartzhall::notes::Notes;
+use quartzhall::peers::Peers;
 use quartzhall::places::{Places, PARTS};
 use quartzhall::settings::{Config, Sessions, Site};
 use quartzhall::{discovery, moving, nodes, reload};
@@ -275,7 +277,18 @@
         moving,
         log.clone(),
     ));
-    vital.spawn(dispatch::run(core, clock, inbox, commands, recorder));
+    let mut others = None;
+    let peers = match site.peer_price {
+        Some(price) => Peers::open(&config, &log).await.map(|peers| (peers, price)),
+        None => None,
+    };
+    if let Some((peers, price)) = peers {
+        let (tell, telling) = Peers::queue();
+        core.take_hearsay(Hearsay::new(config.peers.as_ref().map_or(0, Vec::len), price));
+        others = Some(tell);
+        tokio::spawn(peers.run(telling, door.clone(), log.clone()));
+    }
+    vital.spawn(dispatch::run(core, clock, inbox, commands, recorder, others));
     let (set_discovery, discovery) = watch::channel(config.discovery);
     vital.spawn(discovery::run(discovery, members_site, seed, revision, door.clone(), log.clone()));
     vital.spawn(reload::run(file, text, hangup, door.clone(), set_discovery, log.clone()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,6 +26,8 @@
     tenants: Option<Vec<TenantLine>>,
     tick: Option<f64>,
     zone: Option<String>,
+    /// This dispatcher's number among its peers.
+    pub me: Option<usize>,
 }
 
 #[derive(Deserialize, Clone)]
@@ -48,6 +50,7 @@
 #[derive(Deserialize, Clone, Default)]
 struct Deductions {
     cross_zone: Option<f64>,
+    peer: Option<f64>,
 }
 
 #[derive(Deserialize, Clone, Default)]
@@ -67,6 +70,7 @@
     dial_timeout: Option<f64>,
     max_retry_after: Option<f64>,
     may_probe: Option<bool>,
+    peers: Option<bool>,
     most_held: Option<u64>,
     most_tries: Option<u32>,
     retry_after: Option<bool>,
@@ -212,6 +216,8 @@
     pub classes: Names,
     /// Names of tenants.
     pub tenants: Names,
+    /// What a full message costs for each receiver and request, where dispatchers may tell each other things.
+    pub peer_price: Option<f64>,
     zones: Names,
     kinds: Names,
     roles: Vec<Role>,
@@ -284,6 +290,10 @@
                     .unwrap_or(Time::MAX),
             },
             classes: Names::new(class_lines.iter().map(|class| &class.name)),
+            peer_price: limits
+                .peers
+                .filter(|may| *may)
+                .map(|_| profile.deductions.as_ref().and_then(|it| it.peer).unwrap_or(0.0)),
             tenants: Names::new(tenant_lines.iter().map(|tenant| &tenant.name)),
             zones,
             kinds: Names::new(profile.machine_types.iter().flatten()),
@@ -410,6 +420,12 @@
     pub seed: String,
     /// What the dispatcher may use.
     pub limits: Machine,
+    /// Where other dispatchers tell this one things.
+    pub peer_listen: Option<String>,
+    /// The dispatchers, by their numbers.
+    pub peers: Option<Vec<String>>,
+    /// Where all of them are told at once.
+    pub peers_all: Option<String>,
     /// The list of members as it was last held.
     pub known: Option<MemberList>,
     /// The settings object.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,8 +1,9 @@
 //! The core by itself: no wire, no clock but the numbers given to it.
 
-use quartzhall::api::{Ask, Entry, Role, State, Status, Time};
+use quartzhall::api::{Ask, Entry, Load, Role, State, Status, Time};
 use quartzhall::bans::Refusal;
 use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
+use quartzhall::hearsay::Hearsay;
 use quartzhall::notes::Notes;
 use quartzhall::settings::{Profile, Site};
 use quartzhall_recording::{Key, Record, Table};
@@ -263,7 +264,7 @@
     let core = Core::new(site, 10, 7, clock.now(), Logger::root(Discard, o!()));
     door.post(Event::Drain(std::time::Duration::from_secs(3)));
     let (commands, _commanded) = mpsc::channel(16);
-    tokio::spawn(dispatch::run(core, clock, inbox, commands, None));
+    tokio::spawn(dispatch::run(core, clock, inbox, commands, None, None));
     door.becomes(Readiness::Draining).await;
 }
 
@@ -578,3 +579,37 @@
     use quartzhall_recording::Answer::{Left, Refused, Served};
     assert_eq!(finals, [(1, Served), (2, Left), (3, Left), (4, Refused)]);
 }
+
+/// What one dispatcher has seen of a server, another believes; what can't be a message, and servers that it does not know,
+/// change nothing.
+#[test]
+fn dispatchers_hear_of_each_others_servers() {
+    let load = |in_flight| Some(Load { in_flight: Some(in_flight), ..Load::default() });
+    let told = |bench: &mut Bench, in_flight| {
+        for id in 100..110 {
+            let _left = bench.ask(id, 0, &format!("{in_flight}-{id}"));
+        }
+        let server = 0;
+        bench.hear(Event::Probed { server, ok: true, load: load(in_flight) });
+        bench.core.to_tell(bench.now)
+    };
+    let pair = || {
+        let mut bench = Bench::new(1_000);
+        bench.core.take_hearsay(Hearsay::new(100, 0.0028));
+        bench
+    };
+    let (mut one, mut other) = (pair(), pair());
+    let message = told(&mut one, 40.0).expect("forty requests are a surprise");
+    for cut in 0..message.len() {
+        other.hear(Event::Peer { from: 3, message: message.slice(..cut) });
+    }
+    let unknown = [&message[..3], &[9, 9, 9, 40, 0]].concat().into();
+    other.hear(Event::Peer { from: 4, message: unknown });
+    assert!(told(&mut other, 40.0).is_some(), "that was no news of it yet");
+    let mut third = pair();
+    third.hear(Event::Peer { from: 3, message: message.clone() });
+    third.hear(Event::Peer { from: 3, message });
+    assert_eq!(told(&mut third, 40.0), None, "all know that by now");
+    one.hear(Event::Probed { server: 0, ok: true, load: load(2.0) });
+    assert!(one.core.to_tell(one.now).is_some(), "and that it has changed is news again");
+}
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use quartzhall::api::*;
+use quartzhall::Router;
 
 fn fleet() -> Vec<Entry> {
     let readers = (1..=4).map(|id| server(id, Role::Reader));
@@ -349,3 +350,44 @@
         young.iter().zip(&older).filter(|(young, older)| young != older && **older <= Some(4)).count();
     assert!(moved < 40, "{moved} texts went from one warm reader to another");
 }
+
+/// One of a hundred routers sees a bad writer once a minute; the others have seen it too.
+#[test]
+fn a_writer_that_fails_others_is_avoided_here() {
+    let mut desk = taught();
+    let at_bad = |desk: &mut Desk, ids: std::ops::Range<u64>| {
+        ids.filter(|id| desk.serve(ask(*id, *id), 40 * MS, 30 * MS, 50 * MS).get(1) == Some(&11)).count()
+    };
+    let before = at_bad(&mut desk, 1_000..1_060);
+    (0..12).for_each(|_| drop(desk.hear(Event::Heard { server: 11, load: None })));
+    desk.hear(Event::Heard { server: 999, load: None });
+    let after = at_bad(&mut desk, 2_000..2_020);
+    assert!(before >= 10 && after <= 2, "{before} of 60 before it was heard of, {after} of 20 after");
+}
+
+/// A second copy of a read goes only where its text has a home: elsewhere it pushes out what others come back for.
+#[test]
+fn a_second_copy_is_read_at_home() {
+    let servers = (1..=8).map(|id| server(id, Role::Reader)).chain([server(12, Role::Writer)]);
+    let fleet: Vec<_> = servers.collect();
+    let desk = |seed| {
+        let mut desk = desk();
+        desk.router = Router::new(settings(vec![class(3.0, Effect::Safe)]), seed, 0);
+        desk.hear(Event::Members { complete: true, entries: fleet.clone() });
+        let text = Ask { prefix: Some(77), prefix_tokens: 1_900.0, ..ask(1, seed) };
+        let first = sent_to(&desk.ask(text), 1).expect("a read");
+        (desk, first)
+    };
+    let homes: std::collections::BTreeSet<_> = (0..20).map(|seed| desk(seed).1).collect();
+    assert!(homes.len() < 4, "{homes:?}");
+    let away = (0..20).filter(|seed| {
+        let (mut desk, _) = desk(*seed);
+        // The homes are busy by now, and everybody else is idle.
+        for server in 1..=8 {
+            let in_flight = Some(if homes.contains(&server) { 25.0 } else { 0.0 });
+            desk.hear(Event::Heard { server, load: Some(Load { in_flight, ..Load::default() }) });
+        }
+        sent_to(&desk.pass(2 * SECOND), 1).is_some_and(|second| !homes.contains(&second))
+    });
+    assert_eq!(away.count(), 0, "copies were read where the text has no home");
+}
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,58 @@
+//! Datagrams between dispatchers, over loopback sockets.
+
+mod stand;
+use quartzhall::dispatch::{self, Event};
+use quartzhall::peers::Peers;
+use quartzhall::settings::{Config, Site};
+use slog::{o, Discard, Logger};
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+fn config(listen: &str, peers: &[&str], all: &str) -> Config {
+    let (profile, peers) = (stand::PROFILE, peers.join("\",\""));
+    let text = format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7","limits":{{}},
+            "peer_listen":"{listen}","peers":["{peers}"],"peers_all":"{all}","settings":{profile}}}"#
+    );
+    Config::parse(&text).unwrap()
+}
+
+async fn socket() -> (UdpSocket, String) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    (socket, address)
+}
+
+/// Messages go out to where all are told, and come in from addresses of dispatchers only; one that is longer than allowed
+/// shows as longer.
+#[tokio::test]
+async fn messages_are_carried_from_known_dispatchers_only() {
+    let log = Logger::root(Discard, o!());
+    let ((known, known_at), (stranger, _), (all, all_at)) = (socket().await, socket().await, socket().await);
+    let (free, listen) = socket().await;
+    drop(free);
+    let config = config(&listen, &["127.0.0.1:9", &known_at], &all_at);
+    let peers = Peers::open(&config, &log).await.expect("it listens");
+    assert!(Peers::open(&config, &log).await.is_none(), "the address is taken: it does without");
+    let site = Arc::new(Site::new(&config.settings).unwrap());
+    let (door, mut inbox) = dispatch::door(site);
+    let (tell, telling) = Peers::queue();
+    let run = tokio::spawn(peers.run(telling, door, log));
+
+    tell.send("to all".into()).await.unwrap();
+    let mut buffer = [0; 300];
+    let (length, from) = all.recv_from(&mut buffer).await.unwrap();
+    assert_eq!((&buffer[..length], from.to_string()), (&b"to all"[..], listen.clone()));
+
+    stranger.send_to(b"nonsense", &listen).await.unwrap();
+    known.send_to(b"news", &listen).await.unwrap();
+    known.send_to(&[7; 300], &listen).await.unwrap();
+    for length in [4, 257] {
+        match inbox.next().await {
+            Some(Event::Peer { from: 1, message }) => assert_eq!(message.len(), length),
+            other => panic!("{other:?}"),
+        }
+    }
+    drop(tell);
+    run.await.unwrap();
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -306,7 +306,7 @@
             quartzhall::moving::signal().1,
             log.clone(),
         ));
-        tokio::spawn(dispatch::run(core, clock, inbox, commands, None));
+        tokio::spawn(dispatch::run(core, clock, inbox, commands, None, None));
         let (stop, stopped) = watch::channel(Course::Serving);
         let options = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let options = Arc::new(Sessions::parse(options).unwrap());
