--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,7 @@
 const HOME_MATCH: f64 = 0.85; // part of a prompt that its session's home is presumed to keep at the start
 const HOMES_LEAST: f64 = 2.0; // readers that are homes of a shared text ...
 const HOMES_SPREAD: f64 = 2.0; // ... and this many times its part of the traffic, of all readers
+const FEW: f64 = 10.0; // routers whose own part of a cold server's ration is whole sends
 const COLD_HOME: f64 = 1.5; // a reader's rank falls with this power of the part of it that is warm
 const RECENT: usize = 30; // requests from which that part is told
 const FRESH: Time = 1_000_000; // a report younger than this needs no probe
@@ -107,7 +108,6 @@
     to.iter_mut().zip(other).for_each(|(to, other)| *to = (*to + sign * other).max(0.0));
 }
 
-/// A text that a reader has read.
 struct Kept {
     tokens: f64,
     own: f64, // those of them that are in no shared text
@@ -254,8 +254,9 @@
     usual_load: [Counts; 2], // told by servers that write, and by readers
     /// Per tenant: this router's part of the quota, what is left of it, and when that was reckoned.
     quota: Vec<(f64, f64, Time)>,
-    borne: [f64; 2], // reads and first tokens seen at one warm server on the mean, fading at each refit ...
-    started: [f64; 2], // ... and sends to all, likewise
+    finished: [f64; 2], // reads and first tokens seen, fading at each refit ...
+    borne: [f64; 2],    // ... those at one warm server, on the mean ...
+    started: [f64; 2],  // ... and what was sent
     salt: u64,
 }
 
@@ -295,6 +296,7 @@
             spare: SPARE_MOST,
             recent: VecDeque::new(),
             usual_load: Default::default(),
+            finished: [0.0; 2],
             borne: [0.0; 2],
             started: [0.0; 2],
             salt: mix(seed, 0),
@@ -449,7 +451,6 @@
         self.with(id, Self::place);
     }
 
-    /// Counts a request against its tenant's share; what comes over it has the stated reduced worth.
     fn over_share(&mut self, tenant: Option<usize>) -> bool {
         let Some((rate, left, at)) = self.quota.get_mut(tenant.unwrap_or(usize::MAX)) else { return false };
         *left = (*left + *rate * seconds(self.now - *at)).min(*rate * QUOTA_BURST + 1.0);
@@ -499,8 +500,10 @@
         blend(&mut server.slower, ratio.clamp(0.2, 10.0) - 1.0);
         if warm >= 1.0 {
             model.learn(inputs, took);
-            self.borne[side] += 1.0 / self.bearing(attempt.stage);
         }
+        let (bearing, any_warm) = self.bearing(attempt.stage);
+        self.borne[side] += if warm >= 1.0 || !any_warm { 1.0 / bearing } else { 0.0 };
+        self.finished[side] += 1.0;
     }
 
     fn outcome(&mut self, request: &mut Request, at: usize, status: Status, closed: bool, note: f64) {
@@ -620,10 +623,11 @@
             }
             choices = self.warm_only(choices, request);
         }
-        // What a cold server may get is rationed already: it is used where it fits, or the rest would jam.
+        // A lot that lets a request go to a cold server is drawn in proportion: it is used where that one
+        // fits, or the rest would jam. Where routers are few a ration is counted, and tells not what to send.
+        let lots = request.homes.is_empty() || request.state_at.is_some();
         let rationed = |it: &Choice| it.chance >= FIT && self.is_cold(&self.servers[&it.server]);
-        let by_text = request.state_at.is_none() && !request.homes.is_empty();
-        if !by_text && choices.iter().any(rationed) {
+        if self.share >= FEW && lots && choices.iter().any(rationed) {
             choices.retain(rationed);
         }
         let Some(choice) = self.draw(choices) else { return };
@@ -783,9 +787,7 @@
     /// own counts added for as much as they tell: little where this router is one of hundreds.
     fn level(&self, server: &Server, of: usize) -> f64 {
         let own = server.own[of];
-        // One that has started of late is empty, however full its peers are: it fills as it warms.
-        let filled = server.age(&self.settings, self.now);
-        let usual = filled * self.usual_load[usize::from(server.entry.role == Role::Reader)][of];
+        let usual = self.usual_load[usize::from(server.entry.role == Role::Reader)][of];
         let guess = ((EVENNESS * usual + own) / (EVENNESS + 1.0 / self.share)).max(own);
         let (Some(told), Some(at)) = (server.told[of], server.told_at) else { return guess };
         let trust = 0.5f64.powf(seconds(self.now.saturating_sub(at)) / STALE);
@@ -891,33 +893,30 @@
         let since = self.now.saturating_sub(self.settings.fall);
         let sent = server.sent.iter().filter(|at| **at >= since).count() as f64;
         let span = NEWEST * self.settings.fall as f64 / REFIT as f64;
-        let borne = self.borne[side(stage)] + 1.0 / self.bearing(stage); // one is presumed, as in `started`
-        let able = COLD_PART * self.settings.fall_multiple * self.settings.cold_from * span * borne;
+        let able = self.settings.fall_multiple * self.settings.cold_from * span;
+        let bearing = self.bearing(stage).0;
         // One that waits draws again after each span. Texts draw none: a cold reader is home to its part.
         let times = request.end_at.saturating_sub(self.now) / self.settings.fall.max(1);
         let drawn = mix(mix(request.ask.id ^ self.salt, times), server.entry.server.into());
         let home = u64::from(!request.homes.contains_key(&server.entry.server)) * u64::MAX;
         let lot = if stage == Stage::Write || request.homes.is_empty() { drawn } else { home };
-        let (lot, spare) = (lot as f64 / u64::MAX as f64, able - sent);
-        spare >= 1.0 || lot * span * (self.started[side(stage)] + 1.0) < spare
+        let lot = lot as f64 / u64::MAX as f64 * span * (self.started[side(stage)] + 1.0);
+        let part = COLD_PART * able * (self.borne[side(stage)] + 1.0 / bearing);
+        sent + 1.0 <= able * self.finished[side(stage)] / bearing || lot < part - sent
     }
 
     fn is_cold(&self, server: &Server) -> bool {
         server.age(&self.settings, self.now) < 1.0
     }
 
-    /// Servers that bear the load of a stage. Those that drain or are cold bear none that would tell; where
-    /// no other does, the cold ones do.
-    fn bearing(&self, stage: Stage) -> f64 {
+    /// Servers that bear the load of a stage, and whether any is warm. Those that drain or are cold bear none
+    /// that would tell; where no other does, the cold ones do.
+    fn bearing(&self, stage: Stage) -> (f64, bool) {
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
         let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
-        let bearing = self.servers.values().filter(ready);
-        let warm = bearing.clone().filter(|it| !self.is_cold(it)).count();
-        if warm > 0 {
-            warm as f64
-        } else {
-            bearing.count().max(1) as f64
-        }
+        let warm = self.servers.values().filter(ready).filter(|it| !self.is_cold(it)).count();
+        let ready = self.servers.values().filter(ready).count().max(1);
+        (if warm > 0 { warm } else { ready } as f64, warm > 0)
     }
 
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
@@ -992,6 +991,7 @@
 
     fn refit(&mut self) {
         self.next_refit = self.now + REFIT;
+        self.finished = self.finished.map(|finished| finished * (1.0 - NEWEST));
         self.borne = self.borne.map(|borne| borne * (1.0 - NEWEST));
         self.started = self.started.map(|started| started * (1.0 - NEWEST));
         if self.settings.must_watch && !std::mem::replace(&mut self.watching, true) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -278,13 +278,9 @@
         log.clone(),
     ));
     let mut others = None;
-    let peers = match site.peer_price {
-        Some(price) => Peers::open(&config, &log).await.map(|peers| (peers, price)),
-        None => None,
-    };
-    if let Some((peers, price)) = peers {
+    if let Some((price, peers)) = site.peer_price.zip(Peers::new(&config)).filter(|(_, it)| it.others() > 0) {
         let (tell, telling) = Peers::queue();
-        core.take_hearsay(Hearsay::new(config.peers.as_ref().map_or(0, Vec::len), price));
+        core.take_hearsay(Hearsay::new(peers.others() + 1, price));
         others = Some(tell);
         tokio::spawn(peers.run(telling, door.clone(), log.clone()));
     }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -6,6 +6,7 @@
 use quartzhall::settings::{Config, Site};
 use slog::{o, Discard, Logger};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 fn config(listen: &str, peers: &[&str], all: &str) -> Config {
@@ -29,19 +30,31 @@
 async fn messages_are_carried_from_known_dispatchers_only() {
     let log = Logger::root(Discard, o!());
     let ((known, known_at), (stranger, _), (all, all_at)) = (socket().await, socket().await, socket().await);
-    let (free, listen) = socket().await;
-    drop(free);
+    let (taken, listen) = socket().await;
     let config = config(&listen, &["127.0.0.1:9", &known_at], &all_at);
-    let peers = Peers::open(&config, &log).await.expect("it listens");
-    assert!(Peers::open(&config, &log).await.is_none(), "the address is taken: it does without");
+    let peers = Peers::new(&config).expect("it may listen");
     let site = Arc::new(Site::new(&config.settings).unwrap());
     let (door, mut inbox) = dispatch::door(site);
     let (tell, telling) = Peers::queue();
     let run = tokio::spawn(peers.run(telling, door, log));
 
-    tell.send("to all".into()).await.unwrap();
+    // A predecessor has the address still; when it ends, this one has it.
+    tell.send("lost".into()).await.unwrap();
+    while tell.capacity() < tell.max_capacity() {
+        tokio::task::yield_now().await;
+    }
+    drop(taken);
+    let news = async {
+        loop {
+            let _ = tell.try_send("to all".into());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
     let mut buffer = [0; 300];
-    let (length, from) = all.recv_from(&mut buffer).await.unwrap();
+    let (length, from) = tokio::select! {
+        received = all.recv_from(&mut buffer) => received.unwrap(),
+        () = news => unreachable!(),
+    };
     assert_eq!((&buffer[..length], from.to_string()), (&b"to all"[..], listen.clone()));
 
     stranger.send_to(b"nonsense", &listen).await.unwrap();
