Count a server's failures by class: one that turns a class away still serves the others

At fault: `Server::failing` was one figure for all classes, reset by each success of another class (`observed`), and `usual_failing` was the mean over the peers, so that where most of them fail none is ever set aside. Now failures are kept by class (those of a connection count for all), and a server is set aside for a class when it failed four in ten of it, whatever its peers do: where all are set aside, `open` takes them all. Ruled out: connections (resets were a tenth of it), full queues (other classes were read in 0.04 s there meanwhile), the list (it did not change).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,7 +42,7 @@
 const OVERDUE_MULTIPLE: f64 = 1.5; // ... and after this multiple of it
 const SPARE_PER_REQUEST: f64 = 0.10; // second copies and moves that a request pays for ...
 const SPARE_MOST: f64 = 5.0; // ... and the most that are saved up
-const SICK: f64 = 0.4; // a server is set aside when it failed so much more of late than its peers did
+const SICK: f64 = 0.4; // a server is set aside for a class when it failed so much of it of late
 const PAUSE_DOUBLINGS: u32 = 3; // its pause is the shortest aim, doubled up to so many times
 const COLD_PART: f64 = 0.8; // part of a cold server's budget that is used, reckoned as if it stayed as cold
 const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
@@ -114,6 +114,14 @@
     at: Time,
 }
 
+/// How attempts of a class fared at a server.
+#[derive(Clone, Copy, Default)]
+struct Health {
+    failing: f64, // share of recent ones that failed
+    paused_until: Time,
+    pauses: u32,
+}
+
 #[derive(Default)]
 struct Server {
     entry: Entry,
@@ -121,15 +129,13 @@
     told_at: Option<Time>,
     own: Counts,
     own_then: Counts,
-    /// Attempts with neither 'read' nor first token yet: when sent, seconds predicted.
-    waiting: BTreeMap<(RequestId, usize), (Time, f64)>,
-    slower: f64,            // by what part waits take longer than by the shared model
-    failing: f64,           // share of recent attempts that failed
-    asked_at: Option<Time>, // a probe is out
-    paused_until: Time,
-    pauses: u32,
-    sent: VecDeque<Time>,      // what was sent to it lately, while cold
-    kept: BTreeMap<u64, Kept>, // the prefix table: by a session's or a shared text's key
+    /// Attempts with neither 'read' nor first token yet: when sent, seconds predicted, class.
+    waiting: BTreeMap<(RequestId, usize), (Time, f64, usize)>,
+    slower: f64,                     // by what part waits take longer than by the shared model
+    health: BTreeMap<usize, Health>, // by class
+    asked_at: Option<Time>,          // a probe is out
+    sent: VecDeque<Time>,            // what was sent to it lately, while cold
+    kept: BTreeMap<u64, Kept>,       // the prefix table: by a session's or a shared text's key
 }
 
 impl Server {
@@ -139,9 +145,20 @@
         of(ask.session).max(of(ask.prefix).min(ask.prefix_tokens)).min(ask.prompt)
     }
 
+    /// A server may turn away a class and serve the rest; one not tried is presumed to fare as the best that was.
+    fn health(&self, class: usize) -> Health {
+        let best = || self.health.values().min_by(|a, b| a.failing.total_cmp(&b.failing));
+        self.health.get(&class).or_else(best).copied().unwrap_or_default()
+    }
+
+    fn health_mut(&mut self, class: usize) -> &mut Health {
+        let presumed = self.health(class);
+        self.health.entry(class).or_insert(presumed)
+    }
+
     /// Seconds by which its oldest attempt is late: a stalled server shows before it answers.
     fn overdue(&self, now: Time, spread: f64) -> f64 {
-        let late = |(sent, predicted): &(Time, f64)| seconds(now.saturating_sub(*sent)) - predicted - spread;
+        let late = |it: &(Time, f64, usize)| seconds(now.saturating_sub(it.0)) - it.1 - spread;
         self.waiting.values().map(late).fold(0.0, f64::max)
     }
 
@@ -170,6 +187,10 @@
 const PACE: usize = 2;
 const TOKENS: usize = 2; // the input of the readers' model that tells the tokens left to read
 
+const FINISHED: usize = 0; // reads and first tokens seen ...
+const BORNE: usize = 1; // ... those at one warm server, on the mean ...
+const STARTED: usize = 2; // ... and what was sent
+
 fn side(stage: Stage) -> usize {
     usize::from(stage == Stage::Write)
 }
@@ -240,23 +261,19 @@
     servers: BTreeMap<ServerId, Server>,
     requests: BTreeMap<RequestId, Request>,
     due: BTreeSet<(Time, RequestId)>,
-    /// By side: time to 'read' at readers, wait for the first token at writers; then the time per token.
-    models: [Model; 3],
-    pause: Time, // the first of a server that is set aside: the shortest aim
+    models: [Model; 3], // time to 'read' at readers, wait for the first token at writers, time per token
+    pause: Time,        // the first of a server that is set aside: the shortest aim
     next_refit: Time,
     wake_at: Option<Time>,
     ends_at: Time, // this router ends, and no request lasts longer
     watching: bool,
     usual: f64,
-    spare: f64,              // second copies and moves that may be made
-    home_match: Vec<f64>,    // per class: part of a prompt that its session's home was found to keep
-    recent: VecDeque<u64>,   // shared texts of the last requests
-    usual_load: [Counts; 2], // told by servers that write, and by readers
-    /// Per tenant: this router's part of the quota, what is left of it, and when that was reckoned.
-    quota: Vec<(f64, f64, Time)>,
-    finished: [f64; 2], // reads and first tokens seen, fading at each refit ...
-    borne: [f64; 2],    // ... those at one warm server, on the mean ...
-    started: [f64; 2],  // ... and what was sent
+    spare: f64,                   // second copies and moves that may be made
+    home_match: Vec<f64>,         // per class: part of a prompt that its session's home was found to keep
+    recent: VecDeque<u64>,        // shared texts of the last requests
+    usual_load: [Counts; 2],      // told by servers that write, and by readers
+    quota: Vec<(f64, f64, Time)>, // per tenant: this router's part, what is left of it, when that was reckoned
+    flow: [[f64; 2]; 3],          // by side, fading at each refit: FINISHED, BORNE, STARTED
     salt: u64,
 }
 
@@ -296,9 +313,7 @@
             spare: SPARE_MOST,
             recent: VecDeque::new(),
             usual_load: Default::default(),
-            finished: [0.0; 2],
-            borne: [0.0; 2],
-            started: [0.0; 2],
+            flow: Default::default(),
             salt: mix(seed, 0),
         }
     }
@@ -324,7 +339,8 @@
             Event::Heard { server, load } => {
                 self.told_load(server, load);
                 if let Some(server) = self.servers.get_mut(&server).filter(|_| load.is_none()) {
-                    blend(&mut server.failing, 1.0);
+                    let classes = 0..self.settings.classes.len();
+                    classes.for_each(|class| blend(&mut server.health_mut(class).failing, 1.0));
                 }
             }
             Event::Gone { id } => self.with(id, |it, request| {
@@ -335,7 +351,7 @@
                 self.told_load(server, load);
                 self.servers.entry(server).and_modify(|server| server.asked_at = None);
                 if !ok {
-                    self.blame(server, true);
+                    self.blame(server, None, true);
                 }
             }
             Event::Wake => self.wake_at = self.wake_at.filter(|at| *at > self.now),
@@ -371,12 +387,9 @@
     }
 
     fn members(&mut self, complete: bool, entries: Vec<Entry>) {
-        if complete {
-            let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
-            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                server.entry.state = State::Gone;
-            }
-        }
+        let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
+        let gone = self.servers.iter_mut().filter(|(id, _)| complete && !named.contains(id));
+        gone.for_each(|(_, server)| server.entry.state = State::Gone);
         for entry in entries {
             let old = self.servers.remove(&entry.server).unwrap_or_default();
             let server = if old.entry.started == entry.started {
@@ -406,32 +419,24 @@
             [load.in_flight, load.to_read, load.memory].map(|told| told.filter(|x| (0.0..1e6).contains(x)));
         (server.told_at, server.own_then) = (Some(self.now), server.own);
         let usual = &mut self.usual_load[usize::from(server.entry.role == Role::Reader)];
-        for (usual, told) in usual.iter_mut().zip(server.told) {
-            told.into_iter().for_each(|told| blend(usual, told));
-        }
+        let told = usual.iter_mut().zip(server.told);
+        told.for_each(|(usual, told)| blend(usual, told.unwrap_or(*usual)));
     }
 
-    /// Too many failures, one in a trial, or one that tells of a dead server set the server aside.
-    fn blame(&mut self, id: ServerId, at_once: bool) {
+    /// Too many failures, one in a trial, or one of a dead server set it aside: for a class, or else for all.
+    fn blame(&mut self, id: ServerId, class: Option<usize>, at_once: bool) {
         let (now, pause) = (self.now, self.pause);
-        let usual = self.usual_failing(id);
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        blend(&mut server.failing, 1.0);
-        let sick = server.failing > usual + SICK;
-        if (at_once || sick || server.pauses > 0) && now >= server.paused_until {
-            server.paused_until = now + (pause << server.pauses.min(PAUSE_DOUBLINGS));
-            server.pauses += 1;
+        for class in class.map_or(0..self.settings.classes.len(), |class| class..class + 1) {
+            let Some(server) = self.servers.get_mut(&id) else { return };
+            let health = server.health_mut(class);
+            blend(&mut health.failing, 1.0);
+            if (at_once || health.failing > SICK || health.pauses > 0) && now >= health.paused_until {
+                health.paused_until = now + (pause << health.pauses.min(PAUSE_DOUBLINGS));
+                health.pauses += 1;
+            }
         }
     }
 
-    /// The share of recent attempts that failed at a server's peers, on the mean.
-    fn usual_failing(&self, id: ServerId) -> f64 {
-        let Some(server) = self.servers.get(&id) else { return 0.0 };
-        let peer = |(other, it): &(&ServerId, &Server)| **other != id && it.entry.role == server.entry.role;
-        let peers: Vec<f64> = self.servers.iter().filter(peer).map(|(_, it)| it.failing).collect();
-        peers.iter().sum::<f64>() / peers.len().max(1) as f64
-    }
-
     fn arrive(&mut self, ask: Ask) {
         let id = ask.id;
         let Some(class) = self.settings.classes.get(ask.class) else {
@@ -464,9 +469,8 @@
     fn end(&mut self, request: &mut Request) {
         self.cancel_all(request, |_| true);
         let (id, retry_after) = (request.ask.id, self.pause.min(self.settings.max_retry_after));
-        if !self.act(request, Action::Refuse { id, retry_after }) {
-            self.act(request, Action::Fail { id });
-        }
+        let _ =
+            self.act(request, Action::Refuse { id, retry_after }) || self.act(request, Action::Fail { id });
     }
 
     fn cancel_all(&mut self, request: &mut Request, useless: impl Fn(&Attempt) -> bool) {
@@ -481,17 +485,18 @@
         let Some(attempt) = request.attempts.get_mut(at).filter(|attempt| attempt.out) else { return };
         attempt.first_at = Some(self.now);
         let attempt = &request.attempts[at];
-        self.observed(request.ask.id, at, attempt, &attempt.choice.inputs);
+        self.observed(&request.ask, at, attempt, &attempt.choice.inputs);
         (request.begun, request.state_at, request.may_hold) = (true, None, false);
         self.cancel_all(request, |attempt| attempt.first_at.is_none());
     }
 
     /// A wait is over: corrects the server; teaches the shared model, but for cold servers.
-    fn observed(&mut self, id: RequestId, at: usize, attempt: &Attempt, inputs: &Inputs) {
+    fn observed(&mut self, ask: &Ask, at: usize, attempt: &Attempt, inputs: &Inputs) {
         let Some(server) = self.servers.get_mut(&attempt.choice.server) else { return };
-        server.waiting.remove(&(id, at));
-        blend(&mut server.failing, 0.0);
-        server.pauses = 0;
+        server.waiting.remove(&(ask.id, at));
+        let health = server.health_mut(ask.class);
+        blend(&mut health.failing, 0.0);
+        health.pauses = 0;
         let took = seconds(self.now.saturating_sub(attempt.sent));
         let side = side(attempt.stage);
         let model = &mut self.models[side];
@@ -502,8 +507,8 @@
             model.learn(inputs, took);
         }
         let (bearing, any_warm) = self.bearing(attempt.stage);
-        self.borne[side] += if warm >= 1.0 || !any_warm { 1.0 / bearing } else { 0.0 };
-        self.finished[side] += 1.0;
+        self.flow[BORNE][side] += if warm >= 1.0 || !any_warm { 1.0 / bearing } else { 0.0 };
+        self.flow[FINISHED][side] += 1.0;
     }
 
     fn outcome(&mut self, request: &mut Request, at: usize, status: Status, closed: bool, note: f64) {
@@ -523,7 +528,8 @@
         let dead = status == Status::ConnectFailed;
         let failed = matches!(status, Status::Reset | Status::Error) || status == Status::Full && note == 0.0;
         if dead || failed || (status == Status::Timeout && attempt.checked) {
-            self.blame(server, dead);
+            let answered = matches!(status, Status::Error | Status::Full);
+            self.blame(server, answered.then_some(request.ask.class), dead);
         }
         (request.held_since, request.retry_at, request.asked) = (now, now, None);
         match status {
@@ -531,7 +537,7 @@
                 // What was really left to read: after a flush the table is wrong, and the model must not be.
                 let mut inputs = attempt.choice.inputs;
                 inputs[TOKENS] = (request.ask.prompt - note).max(0.0) / 1000.0;
-                self.observed(id, at, attempt, &inputs);
+                self.observed(&request.ask, at, attempt, &inputs);
                 self.note_kept(&request.ask, attempt, note);
                 let wanted = request.state_at.is_none() && !request.begun;
                 request.may_hold = true;
@@ -777,7 +783,7 @@
             inputs,
             predicted,
             headroom: left / request.aim,
-            chance: chance * (1.0 - server.failing),
+            chance: chance * (1.0 - server.health(request.ask.class).failing),
             price: if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price },
             ..Choice::default()
         }
@@ -801,8 +807,9 @@
         let last = |server: &&Server| {
             let silent = server.asked_at.is_some_and(|at| at + self.asking(request) <= self.now);
             let tried = |it: &Attempt| it.choice.server == server.entry.server && it.stage == stage;
-            let on_trial = server.pauses > 0 && !server.waiting.is_empty(); // no pile-up on what recovers
-            (self.now < server.paused_until || on_trial || silent, request.attempts.iter().any(tried))
+            let health = server.health(request.ask.class);
+            let on_trial = health.pauses > 0 && server.waiting.values().any(|it| it.2 == request.ask.class);
+            (self.now < health.paused_until || on_trial || silent, request.attempts.iter().any(tried))
         };
         let best = allowed.iter().map(last).min();
         allowed.into_iter().filter(|server| Some(last(server)) == best).collect()
@@ -843,14 +850,12 @@
         let timeout = request.end_at.saturating_sub(sent);
         let held = request.ask.prompt + if stage == Stage::Read { 0.0 } else { self.tokens(&request.ask) };
         let Some(to) = self.servers.get_mut(&server).filter(|_| allowed) else { return false };
-        if to.warm_share(&self.settings, sent) < 1.0 {
-            to.sent.push_back(sent);
-        }
+        to.sent.extend((to.age(&self.settings, sent) < 1.0).then_some(sent));
         let held = if to.entry.memory > 0.0 { held / to.entry.memory } else { 0.0 };
         let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, held];
         add(&mut to.own, &work, 1.0);
-        to.waiting.insert((id, request.attempts.len()), (sent, choice.predicted));
-        self.started[side(stage)] += 1.0;
+        to.waiting.insert((id, request.attempts.len()), (sent, choice.predicted, request.ask.class));
+        self.flow[STARTED][side(stage)] += 1.0;
         // Not harmless yet, reads neither: while one is out, nothing proves that it had no effect.
         request.attempts.push(Attempt { choice, stage, sent, work, out: true, ..Attempt::default() });
         self.out.push(Action::Send { id, server, timeout });
@@ -900,9 +905,9 @@
         let drawn = mix(mix(request.ask.id ^ self.salt, times), server.entry.server.into());
         let home = u64::from(!request.homes.contains_key(&server.entry.server)) * u64::MAX;
         let lot = if stage == Stage::Write || request.homes.is_empty() { drawn } else { home };
-        let lot = lot as f64 / u64::MAX as f64 * span * (self.started[side(stage)] + 1.0);
-        let part = COLD_PART * able * (self.borne[side(stage)] + 1.0 / bearing);
-        sent + 1.0 <= able * self.finished[side(stage)] / bearing || lot < part - sent
+        let lot = lot as f64 / u64::MAX as f64 * span * (self.flow[STARTED][side(stage)] + 1.0);
+        let part = COLD_PART * able * (self.flow[BORNE][side(stage)] + 1.0 / bearing);
+        sent + 1.0 <= able * self.flow[FINISHED][side(stage)] / bearing || lot < part - sent
     }
 
     fn is_cold(&self, server: &Server) -> bool {
@@ -991,15 +996,13 @@
 
     fn refit(&mut self) {
         self.next_refit = self.now + REFIT;
-        self.finished = self.finished.map(|finished| finished * (1.0 - NEWEST));
-        self.borne = self.borne.map(|borne| borne * (1.0 - NEWEST));
-        self.started = self.started.map(|started| started * (1.0 - NEWEST));
+        self.flow.as_flattened_mut().iter_mut().for_each(|it| *it *= 1.0 - NEWEST);
         if self.settings.must_watch && !std::mem::replace(&mut self.watching, true) {
             self.out.push(Action::Watch);
         }
         for server in self.servers.values_mut() {
             server.sent.retain(|at| *at + self.settings.fall >= self.now);
-            server.failing *= 1.0 - NEWEST;
+            server.health.values_mut().for_each(|it| it.failing *= 1.0 - NEWEST);
             server.kept.retain(|_, kept| kept.at + KEPT_AIMS * self.pause > self.now);
         }
         self.servers.retain(|_, server| server.entry.state != State::Gone || server.own[REQUESTS] > 0.0);
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -228,6 +228,42 @@
     assert_eq!(used.len(), 4, "{used:?}");
 }
 
+/// A server may turn away one class and serve the others: their success says nothing of it, and where most of the
+/// fleet does so, the rest is what is left for that class.
+#[test]
+fn a_class_that_most_readers_turn_away_goes_to_the_rest() {
+    let mut desk = taught();
+    let (mut turned_away, mut others) = (0, std::collections::BTreeSet::new());
+    for id in 1_000..1_400 {
+        let of_class = Ask { class: (id % 2) as usize, ..ask(id, id) };
+        if of_class.class == 1 {
+            others.insert(desk.serve(of_class, 40 * MS, 30 * MS, 50 * MS)[0]);
+            continue;
+        }
+        let mut sent = sent_to(&desk.ask(of_class), id);
+        for attempt in 0.. {
+            let Some(server) = sent else { break };
+            desk.pass(40 * MS);
+            sent = match server {
+                1 => sent_to(&desk.outcome(id, attempt, 1, Status::Read), id),
+                2..=4 => {
+                    turned_away += usize::from(id >= 1_300);
+                    sent_to(&desk.outcome(id, attempt, server, Status::Full), id)
+                }
+                _ => {
+                    desk.hear(Event::First { id, attempt });
+                    sent_to(&desk.outcome(id, attempt, server, Status::Ok), id)
+                }
+            };
+        }
+    }
+    assert!(
+        turned_away <= 10,
+        "{turned_away} attempts for the last 50 went where their class is turned away"
+    );
+    assert_eq!(others.len(), 4, "the other class goes to all readers: {others:?}");
+}
+
 /// A kept connection that its node has closed tells nothing of the node. Set aside for it, a node's connections would
 /// stand idle for longer still, and it would be set aside for good.
 #[test]
