--- a/src/logic.rs
+++ b/src/logic.rs
@@ -145,7 +145,7 @@
         of(ask.session).max(of(ask.prefix).min(ask.prefix_tokens)).min(ask.prompt)
     }
 
-    /// A server may turn away a class and serve the rest; one not tried is presumed to fare as the best that was.
+    /// A server may turn away a class and serve the rest; one not tried fares like the best that was.
     fn health(&self, class: usize) -> Health {
         let best = || self.health.values().min_by(|a, b| a.failing.total_cmp(&b.failing));
         self.health.get(&class).or_else(best).copied().unwrap_or_default()
@@ -272,7 +272,7 @@
     home_match: Vec<f64>,         // per class: part of a prompt that its session's home was found to keep
     recent: VecDeque<u64>,        // shared texts of the last requests
     usual_load: [Counts; 2],      // told by servers that write, and by readers
-    quota: Vec<(f64, f64, Time)>, // per tenant: this router's part, what is left of it, when that was reckoned
+    quota: Vec<(f64, f64, Time)>, // per tenant: this router's part, what is left of it, since when
     flow: [[f64; 2]; 3],          // by side, fading at each refit: FINISHED, BORNE, STARTED
     salt: u64,
 }
