--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -124,6 +124,21 @@
     }
 }
 
+/// Where clients ask for the rest of a stream, that is a request of its own: new id, whole answer, and the same words
+/// for a client that merely tries again.
+#[tokio::test]
+async fn a_client_that_asks_for_the_rest_is_served_as_any() {
+    let fleet = Fleet::start(false).await;
+    for (name, mark) in [("b1", "1"), ("b2", "again")] {
+        let marked =
+            request(name).replacen("Host: x\r\n", &format!("Host: x\r\nX-Second-Try: {mark}\r\n"), 1);
+        let text = Client::exchange(&fleet, &marked).await;
+        assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n"), "{text}");
+        assert!(ANSWER.iter().all(|event| text.contains(event)), "{text}");
+    }
+    fleet.nothing_left().await;
+}
+
 #[tokio::test]
 async fn refused_failed_and_in_flight_have_their_codes() {
     let fleet = Fleet::start(false).await;
