Say in the log why a stream is given up and how far a start has come; a test bars nodes mid-stream

The guess that a connection is taken for idle as its replica leaves the list (nodes/connections `is_idle`) is ruled out: `a_node_that_leaves_mid_stream_cuts_nothing` cuts a second answer on a kept connection at each of its bytes and bars the node there; it passes, and fails at the first byte when `is_idle` disregards whether the answer is whole.

--- a/src/main.rs
+++ b/src/main.rs
@@ -211,6 +211,7 @@
         }
         None => listen(&config.listen).await?,
     };
+    info!(log, "start"; "stage" => "listening");
     let clock = Clock::start();
     let mut handover = inherited.is_some().then(|| post(&config.name, clock, &log)).flatten();
     let view = handover.as_ref().map_or(View::default(), Handover::view);
@@ -253,6 +254,7 @@
     if view.predecessor {
         core.hold_back();
     }
+    info!(log, "start"; "stage" => "the core is made", "members" => core.nodes());
     let (commands, commanded) = mpsc::channel(1024);
     let (set_moving, moving) = moving::signal();
     let speak_sessions = sessions.nodes.iter().cloned().collect();
@@ -309,6 +311,7 @@
         vital.spawn(handover::run(handover, limits, door.clone(), phase, set_view));
     }
 
+    info!(log, "start"; "stage" => "tasks run", "tasks" => vital.len());
     let (set_course, course) = watch::channel(Course::Serving);
     let routes = platform::routes(door.clone(), rooms.clone(), log.clone());
     let most = clients.whole();
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -6,6 +6,7 @@
 use crate::framing::Chunks;
 use crate::moving::{Half, Signal};
 use bytes::Bytes;
+use slog::{info, Logger};
 use std::future::Future;
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -64,11 +65,12 @@
     events: Events,
     last: Instant,
     moving: Signal,
+    log: Logger,
 }
 
 impl Passing {
     /// For this attempt.
-    pub fn new(door: Door, trial: &Trial, moving: Signal) -> Self {
+    pub fn new(door: Door, trial: &Trial, moving: Signal, log: Logger) -> Self {
         Passing {
             door,
             id: trial.id,
@@ -78,6 +80,7 @@
             events: Events::default(),
             last: Instant::now(),
             moving,
+            log,
         }
     }
 
@@ -99,7 +102,7 @@
             false => (until, Status::Timeout),
         };
         tokio::select! {
-            next = timeout_at(limit, next) => next.map_err(|_| ended),
+            next = timeout_at(limit, next) => next.map_err(|_| self.given_up("silent", ended)),
             () = self.abandoned() => Err(Status::Cancelled),
         }
     }
@@ -122,6 +125,16 @@
         }
     }
 
+    /// Nothing broke, and yet the attempt is over: of a stream that has begun, whose client now gets no whole answer,
+    /// the log tells why.
+    fn given_up(&self, why: &str, status: Status) -> Status {
+        if self.begun() {
+            info!(self.log, "a stream is given up"; "id" => self.id, "attempt" => self.attempt, "why" => why,
+                "since_last_event_ms" => self.last.elapsed().as_millis() as u64);
+        }
+        status
+    }
+
     async fn abandoned(&self) {
         match &self.pieces {
             Some(pieces) => pieces.closed().await,
@@ -132,7 +145,7 @@
     /// Takes what came and passes on the events that are whole. An error is how the attempt has ended: nobody
     /// wants the stream any more, or it is spoilt.
     pub async fn data(&mut self, data: &[u8]) -> Result<(), Status> {
-        let whole = self.events.take(data).map_err(|Spoilt| Status::Error)?;
+        let whole = self.events.take(data).map_err(|Spoilt| self.given_up("spoilt", Status::Error))?;
         self.pass(whole).await
     }
 
@@ -157,7 +170,8 @@
     /// Passes the good end on, with what came after the last event. Without it, whoever reads the stream takes
     /// it as broken. A stream without an event is no answer.
     pub async fn end(mut self) -> Result<(), Status> {
-        let rest = std::mem::take(&mut self.events).rest().map_err(|Spoilt| Status::Error)?;
+        let rest = std::mem::take(&mut self.events).rest();
+        let rest = rest.map_err(|Spoilt| self.given_up("spoilt at its end", Status::Error))?;
         if !self.begun() {
             return Err(Status::Error);
         }
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -112,7 +112,7 @@
                     let (cancel, cancelled) = oneshot::channel::<()>();
                     let shared = shared.clone();
                     let trial = Trial { id, attempt, address, work, timeout, alone };
-                    let passing = Passing::new(shared.door.clone(), &trial, moving.clone());
+                    let passing = Passing::new(shared.door.clone(), &trial, moving.clone(), shared.log.clone());
                     let begun = passing.mark();
                     let cancelled = async move {
                         // A cancel may cross with the first event. The core has then given the stream to the
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -159,3 +159,27 @@
         assert_eq!(outcome(&mut inbox).await.0, wanted, "{code}");
     }
 }
+
+/// A node that leaves the list in the middle of a stream, whatever byte has come by then: its kept connections are let
+/// go, and one with a stream under way must not be taken for idle.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_leaves_mid_stream_cuts_nothing() {
+    let text = format!("{HEAD}{}{}0\r\n\r\n", chunk(EVENT), chunk(EVENT));
+    for cut in 0..=text.len() {
+        let (node, (commands, mut inbox)) = (Node::start().await, node_side(&[]));
+        let address: std::sync::Arc<str> = node.0.local_addr().unwrap().to_string().into();
+        commands.send(node.send(1)).await.unwrap();
+        let mut stream = node.says(text.as_bytes()).await;
+        assert_eq!(outcome(&mut inbox).await, (Status::Ok, EVENT.repeat(2), true));
+        // The second answer comes on the connection that was kept.
+        commands.send(node.send(2)).await.unwrap();
+        let (before, after) = text.as_bytes().split_at(cut);
+        answer(&mut stream, before).await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        commands.send(Command::Bar { address, barred: true }).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        stream.write_all(after).await.unwrap();
+        drop(stream);
+        assert_eq!(outcome(&mut inbox).await, (Status::Ok, EVENT.repeat(2), true), "cut at byte {cut}");
+    }
+}
