Let a state leave its rack before a stalled writer there is hopeless

The price of leaving the rack (0.08, against a price scale of 0.007) keeps a state there until its chance falls by as much, and judge took a stall of 0.4 s for a certain 0.4 s more: the chance stayed at 1 until the aim was all but over.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -482,7 +482,6 @@
     fn first(&mut self, request: &mut Request, at: usize) {
         let Some(attempt) = request.attempts.get_mut(at).filter(|attempt| attempt.out) else { return };
         attempt.first_at = Some(self.now);
-        let attempt = &request.attempts[at];
         self.observed(&request.ask, at, attempt, &attempt.choice.inputs);
         (request.begun, request.state_at, request.may_hold) = (true, None, false);
         self.cancel_all(request, |attempt| attempt.first_at.is_none());
@@ -516,7 +515,6 @@
         attempt.out = false;
         let never = matches!(status, Status::ConnectFailed | Status::Moot | Status::Rejected);
         attempt.harmless |= never || status == Status::Full || attempt.stage == Stage::Read;
-        let attempt = &request.attempts[at];
         let server = attempt.choice.server;
         if let Some(server) = self.servers.get_mut(&server) {
             server.waiting.remove(&(id, at));
@@ -776,13 +774,15 @@
         let base = model.predict(&inputs);
         let slow = (1.0 + server.slower) / server.warm_share(&self.settings, self.now).max(0.05);
         let corrected = ((base + model.spread) * slow - model.spread).max(0.1 * base);
-        let predicted = corrected + server.overdue(self.now, 2.0 * model.spread);
-        let left = seconds(request.aim_at) - seconds(self.now) - later - predicted;
-        let chance = odds(left / model.spread.max(LEAST_SPREAD * request.aim));
+        let overdue = server.overdue(self.now, 2.0 * model.spread);
+        let left = seconds(request.aim_at) - seconds(self.now) - later - corrected - overdue;
+        // How long a stall still lasts is unknown: a state that waits goes elsewhere before it is hopeless.
+        let unknown = request.state_at.map_or(0.0, |_| overdue);
+        let chance = odds(left / (model.spread.max(LEAST_SPREAD * request.aim) + unknown));
         Choice {
             server: server.entry.server,
             inputs,
-            predicted,
+            predicted: corrected + overdue,
             headroom: left / request.aim,
             chance: chance * (1.0 - server.health(request.ask.class).failing),
             price: if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price },
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -97,6 +97,31 @@
     assert!(again <= 8, "{again} of 60 went to the stalled reader");
 }
 
+#[test]
+fn a_state_leaves_its_rack_before_a_stalled_writer_there_is_hopeless() {
+    // The price of leaving the rack kept states at writers with full memory until all that waited was late.
+    let cell = |id, role, cell| Entry { cell, ..server(id, role) };
+    let fleet = [cell(1, Role::Reader, 0), cell(11, Role::Writer, 0), cell(12, Role::Writer, 1)];
+    let alone =
+        Settings { far_price: 0.08, reports: Reports::Never, ..settings(vec![class(3.0, Effect::Safe)]) };
+    let mut desk = Desk::new(alone, fleet.to_vec());
+    for id in 0..80 {
+        desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
+    }
+    let mut written = |id, after| {
+        let reader = sent_to(&desk.ask(ask(id, id)), id).expect("read");
+        desk.pass(40 * MS);
+        let writer = sent_to(&desk.outcome(id, 0, reader, Status::Read), id).expect("written");
+        desk.pass(after);
+        writer
+    };
+    let at_home = (1_000..1_004).filter(|id| written(*id, 10 * MS) == 11).count();
+    assert_eq!(at_home, 4, "nothing is late yet");
+    written(2_000, 400 * MS);
+    let away = (3_000..3_010).filter(|id| written(*id, MS) == 12).count();
+    assert!(away >= 8, "{away} of 10 left a writer that has been silent for 0.4 s of an aim of 1 s");
+}
+
 #[test]
 fn a_dead_server_is_set_aside_and_tried_again_alone() {
     let mut desk = taught();
@@ -329,9 +354,10 @@
 
 /// After a flush a reader takes long for texts that the table believes in. That is the table's fault: with the tokens
 /// really left to read it is as quick as ever, and not to be avoided by others.
-#[test]
-fn a_reader_that_was_flushed_is_not_taken_for_slow() {
-    let mut desk = desk();
+/// How many of 60 requests go to a reader that was flushed, among four, once it has kept texts again.
+fn at_a_flushed_reader(seed: u64) -> usize {
+    let classes = vec![class(3.0, Effect::Safe), class(1.0, Effect::Safe)];
+    let mut desk = Desk::seeded(settings(classes), fleet(), seed);
     let read = |desk: &mut Desk, id: u64, session: u64, prompt: f64, flushed: bool, known: bool| {
         let reader = sent_to(&desk.ask(Ask { prompt, ..ask(id, session) }), id).expect("sent");
         let found = if known && !(flushed && reader == 1) { prompt - 200.0 } else { 0.0 };
@@ -348,8 +374,14 @@
     for id in 0..80 {
         read(&mut desk, 100 + id, id, 1_200.0 + 50.0 * id as f64, true, true);
     }
-    let at_it = (1_000..1_060).filter(|id| read(&mut desk, *id, *id, 2_000.0, false, false) == 1).count();
-    assert!(at_it >= 15, "{at_it} of 60 went to the reader that was flushed");
+    (1_000..1_060).filter(|id| read(&mut desk, *id, *id, 2_000.0, false, false) == 1).count()
+}
+
+#[test]
+fn a_reader_that_was_flushed_is_not_taken_for_slow() {
+    // Over twenty draws: one alone may fall to either side, with the fault (11 of 60) and without (17).
+    let at_it: usize = (0..20).map(at_a_flushed_reader).sum();
+    assert!(at_it >= 300, "{at_it} of 1200 went to the reader that was flushed");
 }
 
 /// Where each text goes in a fleet of six readers, two of them started anew `age` ago.
