Wait for a writer's memory in the prediction, so that a rack is left before its writers are full

Where nothing is reported, own counts are all there is.

Now what a writer's memory can't take (own and reported level, and this request) waits for as long as an answer's stream takes, in proportion; how full it is, is known to a tenth, so the step is soft.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,7 @@
 const PAUSE_DOUBLINGS: u32 = 3; // its pause is the shortest aim, doubled up to so many times
 const COLD_PART: f64 = 0.8; // part of a cold server's budget that is used, reckoned as if it stayed as cold
 const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
+const MEMORY_SPREAD: f64 = 0.1; // what is known of a writer's memory is off by about this part of it
 const ANSWER_PART: f64 = 0.33; // tokens of an answer as part of the most allowed, where no hint tells
 const QUOTA_BURST: f64 = 5.0; // seconds of a tenant's quota that may come at once
 const ROOM: f64 = 0.5; // part of a reader's memory that the texts noted for it may fill
@@ -92,9 +93,8 @@
     }
 
     fn predict(&self, x: &Inputs) -> f64 {
-        let (start, slopes) =
-            (self.weights[0] * x[0], self.weights.zip_map(x, |weight, x| weight.max(0.0) * x));
-        (start + slopes.sum() - slopes[0]).clamp(self.mean * 0.1, self.mean * 20.0)
+        let slopes = self.weights.zip_map(x, |weight, x| weight.max(0.0) * x);
+        (self.weights[0] * x[0] + slopes.sum() - slopes[0]).clamp(self.mean * 0.1, self.mean * 20.0)
     }
 }
 
@@ -140,8 +140,7 @@
 
 impl Server {
     fn kept_of(&self, ask: &Ask) -> f64 {
-        let of =
-            |text: Option<u64>| text.and_then(|text| self.kept.get(&text)).map_or(0.0, |kept| kept.tokens);
+        let of = |text: Option<u64>| text.and_then(|it| self.kept.get(&it)).map_or(0.0, |it| it.tokens);
         of(ask.session).max(of(ask.prefix).min(ask.prefix_tokens)).min(ask.prompt)
     }
 
@@ -162,6 +161,10 @@
         self.waiting.values().map(late).fold(0.0, f64::max)
     }
 
+    fn part_of_memory(&self, tokens: f64) -> f64 {
+        Some(self.entry.memory).filter(|told| *told > 0.0).map_or(0.0, |memory| tokens / memory)
+    }
+
     fn warm_share(&self, settings: &Settings, now: Time) -> f64 {
         1.0 - (1.0 - settings.cold_from) * (1.0 - self.age(settings, now))
     }
@@ -387,9 +390,7 @@
     }
 
     fn members(&mut self, complete: bool, entries: Vec<Entry>) {
-        let named: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
-        let gone = self.servers.iter_mut().filter(|(id, _)| complete && !named.contains(id));
-        gone.for_each(|(_, server)| server.entry.state = State::Gone);
+        self.servers.values_mut().filter(|_| complete).for_each(|it| it.entry.state = State::Gone);
         for entry in entries {
             let mut old = self.servers.remove(&entry.server).unwrap_or_default();
             if old.entry.started != entry.started {
@@ -440,17 +441,17 @@
         let Some(class) = self.settings.classes.get(ask.class) else {
             return self.out.push(Action::Fail { id });
         };
-        let aim = seconds(class.aim).max(1e-3);
+        let (aim, worth) = (seconds(class.aim).max(1e-3), class.worth);
         let aim_at = self.now + class.aim + (class.aim_per_1000_tokens as f64 * ask.prompt / 1000.0) as Time;
         let part = if self.over_share(ask.tenant) { self.settings.over_share_worth } else { 1.0 };
-        let worth = self.settings.classes[ask.class].worth * part;
         let end_at = self.now.saturating_add(ask.expires_in).saturating_sub(2 * self.settings.tick);
         let end_at = end_at.min(self.ends_at);
         self.spare = (self.spare + SPARE_PER_REQUEST).min(SPARE_MOST);
         let aim_at = aim_at.min(end_at);
         self.recent.push_back(ask.prefix.unwrap_or(0));
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
-        self.requests.insert(id, Request { ask, end_at, aim, aim_at, worth, ..Request::default() });
+        self.requests
+            .insert(id, Request { ask, end_at, aim, aim_at, worth: worth * part, ..Request::default() });
         self.with(id, Self::place);
     }
 
@@ -628,7 +629,8 @@
         // A lot that lets a request go to a cold server is drawn in proportion: it is used where that one
         // fits, or the rest would jam. Where routers are few a ration is counted, and tells not what to send.
         let lots = request.homes.is_empty() || request.state_at.is_some();
-        let rationed = |it: &Choice| it.chance >= FIT && self.is_cold(&self.servers[&it.server]);
+        let rationed =
+            |it: &Choice| it.chance >= FIT && self.servers[&it.server].age(&self.settings, self.now) < 1.0;
         if self.share >= FEW && lots && choices.iter().any(rationed) {
             choices.retain(rationed);
         }
@@ -676,8 +678,8 @@
             self.usual += (1.0 - FORGET) * (wait - self.usual);
             return false;
         }
-        let open = self.settings.classes.iter().filter(|class| class.open);
-        let lowest = open.map(|class| class.worth).fold(f64::MAX, f64::min);
+        let worth = |class: &Class| if class.open { class.worth } else { f64::MAX };
+        let lowest = self.settings.classes.iter().map(worth).fold(f64::MAX, f64::min);
         wait > self.usual + ABOVE_USUAL * request.aim && (request.worth <= lowest || chance < HOPELESS)
     }
 
@@ -751,13 +753,17 @@
         let prompt = request.ask.prompt / 1000.0;
         let inputs =
             Inputs::new(1.0, running / 10.0, memory, if far { prompt } else { 0.0 }, prompt + to_fetch);
-        let mut choice = self.judge(request, server, WRITE, inputs, 0.0);
+        // What its memory can't take waits until running answers end; how full it is, is known in part.
+        let (tokens, pace) = (self.tokens(&request.ask), self.models[PACE].predict(&inputs));
+        let over = (memory + server.part_of_memory(request.ask.prompt + tokens) - 1.0) / MEMORY_SPREAD;
+        let over = MEMORY_SPREAD * (over.max(0.0) + (-over.abs()).exp().ln_1p());
+        let mut choice = self.judge(request, server, WRITE, inputs, over * tokens * pace);
         choice.kept = request.ask.prompt;
         choice.price += if far { self.settings.far_price } else { 0.0 };
         let aim = seconds(self.settings.classes[request.ask.class].token_aim);
         if aim > 0.0 {
             let warm = server.warm_share(&self.settings, self.now).max(0.05);
-            let room = 1.0 - self.models[PACE].predict(&inputs) / warm / aim;
+            let room = 1.0 - pace / warm / aim;
             choice.headroom = choice.headroom.min(room);
             choice.chance *= odds(room / (2.0 * LEAST_SPREAD));
         }
@@ -777,14 +783,14 @@
         let overdue = server.overdue(self.now, 2.0 * model.spread);
         let left = seconds(request.aim_at) - seconds(self.now) - later - corrected - overdue;
         // How long a stall still lasts is unknown: a state that waits goes elsewhere before it is hopeless.
-        let unknown = request.state_at.map_or(0.0, |_| overdue);
-        let chance = odds(left / (model.spread.max(LEAST_SPREAD * request.aim) + unknown));
+        let unknown =
+            model.spread.max(LEAST_SPREAD * request.aim) + request.state_at.map_or(0.0, |_| overdue);
         Choice {
             server: server.entry.server,
             inputs,
             predicted: corrected + overdue,
             headroom: left / request.aim,
-            chance: chance * (1.0 - server.health(request.ask.class).failing),
+            chance: odds(left / unknown) * (1.0 - server.health(request.ask.class).failing),
             price: if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price },
             ..Choice::default()
         }
@@ -848,18 +854,16 @@
     fn send(&mut self, request: &mut Request, stage: Stage, choice: Choice) -> bool {
         let (id, server, sent) = (request.ask.id, choice.server, self.now);
         let allowed = self.servers.get(&server).is_some_and(|server| self.may_send(request, server, stage));
-        let timeout = request.end_at.saturating_sub(sent);
         let held = request.ask.prompt + if stage == Stage::Read { 0.0 } else { self.tokens(&request.ask) };
         let Some(to) = self.servers.get_mut(&server).filter(|_| allowed) else { return false };
         to.sent.extend((to.age(&self.settings, sent) < 1.0).then_some(sent));
-        let held = if to.entry.memory > 0.0 { held / to.entry.memory } else { 0.0 };
-        let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, held];
+        let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, to.part_of_memory(held)];
         add(&mut to.own, &work, 1.0);
         to.waiting.insert((id, request.attempts.len()), (sent, choice.predicted, request.ask.class));
         self.flow[STARTED][side(stage)] += 1.0;
         // Not harmless yet, reads neither: while one is out, nothing proves that it had no effect.
         request.attempts.push(Attempt { choice, stage, sent, work, out: true, ..Attempt::default() });
-        self.out.push(Action::Send { id, server, timeout });
+        self.out.push(Action::Send { id, server, timeout: request.end_at.saturating_sub(sent) });
         true
     }
 
@@ -890,10 +894,10 @@
 
     /// A cold server gets this router's part of what it can take in any span of the rule's length, by what
     /// the warm ones bear for this router: the count of routers cancels out. A part of one send is drawn by
-    /// lot, lest a hundred routers make a hundred sends of it; and by each request anew, for where requests
-    /// are few a lot that holds for a span mostly lapses, and the cold ones stand idle while the rest jams.
+    /// lot, lest a hundred routers make a hundred sends of it, and by each request anew: where requests are
+    /// few, a lot that holds for a span mostly lapses, and the cold ones stand idle while the rest jams.
     fn cold_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        if !self.is_cold(server) {
+        if server.age(&self.settings, self.now) >= 1.0 {
             return true;
         }
         let since = self.now.saturating_sub(self.settings.fall);
@@ -911,18 +915,14 @@
         sent + 1.0 <= able * self.flow[FINISHED][side(stage)] / bearing || lot < part - sent
     }
 
-    fn is_cold(&self, server: &Server) -> bool {
-        server.age(&self.settings, self.now) < 1.0
-    }
-
     /// Servers that bear the load of a stage, and whether any is warm. Those that drain or are cold bear none
     /// that would tell; where no other does, the cold ones do.
     fn bearing(&self, stage: Stage) -> (f64, bool) {
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
         let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
-        let warm = self.servers.values().filter(ready).filter(|it| !self.is_cold(it)).count();
-        let ready = self.servers.values().filter(ready).count().max(1);
-        (if warm > 0 { warm } else { ready } as f64, warm > 0)
+        let ready = self.servers.values().filter(ready);
+        let (warm, cold): (Vec<_>, Vec<_>) = ready.partition(|it| it.age(&self.settings, self.now) >= 1.0);
+        (if warm.is_empty() { cold.len().max(1) } else { warm.len() } as f64, !warm.is_empty())
     }
 
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -122,6 +122,36 @@
     assert!(away >= 8, "{away} of 10 left a writer that has been silent for 0.4 s of an aim of 1 s");
 }
 
+#[test]
+fn a_writer_is_not_filled_beyond_its_memory() {
+    // Without reports own counts tell how full a writer is: 20 of these prompts fill one.
+    let rack = |id, role, cell| Entry { cell, memory: 50_000.0, ..server(id, role) };
+    let fleet = [rack(1, Role::Reader, 0), rack(11, Role::Writer, 0), rack(12, Role::Writer, 1)];
+    let settings = Settings {
+        balancers: 1,
+        far_price: 0.08,
+        reports: Reports::Never,
+        ..settings(vec![class(3.0, Effect::Safe)])
+    };
+    let mut desk = Desk::new(settings, fleet.to_vec());
+    for id in 0..80 {
+        desk.serve(ask(id, id), 40 * MS, 30 * MS, 2 * SECOND);
+    }
+    let mut writers = vec![];
+    for id in 1_000..1_040 {
+        let reader = sent_to(&desk.ask(ask(id, id)), id).expect("read");
+        desk.pass(40 * MS);
+        let writer = sent_to(&desk.outcome(id, 0, reader, Status::Read), id).expect("written");
+        desk.pass(30 * MS);
+        desk.hear(Event::First { id, attempt: 1 });
+        writers.push(writer);
+    }
+    let at_home = writers.iter().filter(|it| **it == 11).count();
+    assert!((20..=32).contains(&at_home), "{at_home} of 40 in the reader's rack, where 24 find room");
+    let early = writers[..14].iter().filter(|it| **it == 11).count();
+    assert!(early >= 12, "{early} of the first 14: the rack is left only when it is nearly full");
+}
+
 #[test]
 fn a_dead_server_is_set_aside_and_tried_again_alone() {
     let mut desk = taught();
