--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -1,4 +1,5 @@
-//! Answers of nodes that come spoilt, and good ones with more than belongs to them: raw bytes, a paused clock.
+//! Answers of nodes that come spoilt, good ones with more than belongs to them, and how long a connection is kept
+//! after one: raw bytes, a paused clock.
 
 mod stand;
 
@@ -27,7 +28,8 @@
     }
 
     async fn says(&self, bytes: &[u8]) -> TcpStream {
-        let (mut stream, _) = self.0.accept().await.unwrap();
+        let accepted = tokio::time::timeout(Duration::from_secs(60), self.0.accept()).await;
+        let (mut stream, _) = accepted.expect("a connection within a minute").unwrap();
         answer(&mut stream, bytes).await;
         stream
     }
@@ -183,3 +185,22 @@
         assert_eq!(outcome(&mut inbox).await, (Status::Ok, EVENT.repeat(2), true), "cut at byte {cut}");
     }
 }
+
+/// A node closes what has been idle for the settings' time (30 s in these), and what is written to it from then on
+/// may have run: for seven tenths of that a connection is used again, and after that no more.
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_not_used_again_when_its_node_may_be_closing_it() {
+    let (node, (commands, mut inbox)) = (Node::start().await, node_side(&[]));
+    let good = format!("{HEAD}{}0\r\n\r\n", chunk(EVENT));
+    commands.send(node.send(1)).await.unwrap();
+    let mut first = node.says(good.as_bytes()).await;
+    assert_eq!(outcome(&mut inbox).await.0, Status::Ok);
+    tokio::time::sleep(Duration::from_millis(20_500)).await;
+    commands.send(node.send(2)).await.unwrap();
+    answer(&mut first, good.as_bytes()).await;
+    assert_eq!(outcome(&mut inbox).await.0, Status::Ok, "the same connection");
+    tokio::time::sleep(Duration::from_millis(21_500)).await;
+    commands.send(node.send(3)).await.unwrap();
+    let _second = node.says(good.as_bytes()).await;
+    assert_eq!(outcome(&mut inbox).await.0, Status::Ok, "a connection of its own");
+}
