Make the core a folder: messages, door, clock, request table, nodes' table, and a core that joins them

What a request's attempts leave held, when it is let go and when it is over is decided in the table; what a list or operators' word means for a node in the nodes' table. Both without I/O.

--- /dev/null
+++ b/src/dispatch/core.rs
@@ -0,0 +1,480 @@
+//! The state machine: it joins the module, the request table and the nodes' table, and keeps the rules.
+
+use super::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
+use super::nodes::{News, Nodes};
+use super::table::{Attempt, Ended, Held, Table};
+use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, State, Status, Time};
+use crate::bans::Marks;
+use crate::hearsay::Hearsay;
+use crate::notes::Notes;
+use crate::places::PARTS;
+use crate::settings::Site;
+use crate::Router;
+use bytes::Bytes;
+use quartzhall_recording::{Answer as Noted, Record};
+use slog::{debug, info, warn, Logger};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// The core looks over its table this often while there are requests in it.
+const SWEEP: Time = 20_000;
+/// The number of a class that is gone is used again after this at the earliest.
+const CLASS_QUIET: Time = 60_000_000;
+
+/// The state machine. Its caller gives it the time with each event and does what it commands.
+pub struct Core {
+    router: Router,
+    site: Arc<Site>,
+    site_changed: bool,
+    retired: Vec<Time>, // when each class was last open
+    part: u32,
+    most_held: usize,
+    most_places: usize,
+    processes: u32,
+    held_back: bool,
+    nodes: Nodes,
+    requests: Table,
+    timers: BinaryHeap<Reverse<Time>>,
+    next_sweep: Time,
+    draining: bool,
+    commands: Vec<Command>,
+    notes: Option<Notes>,
+    hearsay: Option<Hearsay>,
+    pub(super) log: Logger,
+}
+
+impl Core {
+    /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
+    /// `most_places`: so many requests can be open at once.
+    pub fn new(site: Arc<Site>, most_places: usize, seed: u64, now: Time, log: Logger) -> Self {
+        let mut core = Core {
+            router: Router::new(site.settings.clone(), seed, now),
+            most_held: site.bounds.most_held.min(most_places),
+            retired: vec![now; site.settings.classes.len()],
+            site,
+            site_changed: true,
+            part: PARTS,
+            most_places,
+            processes: 1,
+            held_back: false,
+            nodes: Nodes::default(),
+            requests: Table::default(),
+            timers: BinaryHeap::new(),
+            next_sweep: now,
+            draining: false,
+            commands: Vec::new(),
+            notes: None,
+            hearsay: None,
+            log,
+        };
+        core.step(now, api::Event::Wake);
+        core
+    }
+
+    /// Notes from now on what it hears and does.
+    pub fn take_notes(&mut self, notes: Notes) {
+        self.notes = Some(notes);
+    }
+
+    /// Tells other dispatchers things from now on, and hears them.
+    pub fn take_hearsay(&mut self, hearsay: Hearsay) {
+        self.hearsay = Some(hearsay);
+    }
+
+    /// What other dispatchers are to be told now.
+    pub fn to_tell(&mut self, now: Time) -> Option<Bytes> {
+        self.hearsay.as_mut()?.message(now).map(Bytes::from)
+    }
+
+    /// A message from another dispatcher. Servers that are not listed here, and keys that two have, tell nothing.
+    fn peer(&mut self, now: Time, from: usize, message: &[u8]) {
+        let Some(words) = self.hearsay.as_mut().map(|hearsay| hearsay.hear(now, from, message)) else {
+            return;
+        };
+        let words = words.unwrap_or_else(|why| {
+            debug!(self.log, "a message was dropped"; "from" => from, "why" => ?why);
+            Vec::new()
+        });
+        for word in words {
+            let Some(server) = self.nodes.by_hash(word.key) else { continue };
+            let load = word.load;
+            self.hearsay.iter_mut().for_each(|hearsay| hearsay.heard(now, server, &word));
+            self.step(now, api::Event::Heard { server, load });
+        }
+    }
+
+    /// What an attempt or a probe has shown of a server, for the others.
+    fn tell(&mut self, now: Time, server: ServerId, failed: bool, load: Option<&Load>) {
+        let node = self.nodes.get(server).map(|node| node.listed.key);
+        let (Some(hash), Some(hearsay)) = (node, &mut self.hearsay) else { return };
+        load.into_iter().for_each(|load| hearsay.report(now, server, hash, load));
+        if failed {
+            hearsay.failure(hash);
+        }
+    }
+
+    /// What was noted since the last call.
+    pub fn notes(&mut self) -> Vec<Record> {
+        self.notes.as_mut().map(Notes::take).unwrap_or_default()
+    }
+
+    fn note(&mut self, note: impl FnOnce(&mut Notes)) {
+        if let Some(notes) = &mut self.notes {
+            note(notes);
+        }
+    }
+
+    /// Is not ready until it hears [`Event::Open`].
+    pub fn hold_back(&mut self) {
+        self.held_back = true;
+    }
+
+    /// Hears one event.
+    pub fn hear(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Request { ask, work, answer } => self.request(now, ask, work, answer),
+            Event::Gone { id, fate } => self.gone(now, id, fate),
+            Event::First { id, attempt, stream } => self.first(now, id, attempt, stream),
+            Event::Ended { id, attempt, status, note, written, load } => {
+                self.note(|notes| notes.ended(now, id, attempt, status, note, written));
+                self.ended(now, id, attempt, status, note, load)
+            }
+            Event::Released(id) => {
+                if let Some(held) = self.requests.get_mut(id) {
+                    held.releasing = false;
+                    held.idle_since = now;
+                }
+                self.settle(now, id);
+            }
+            Event::Probed { server, ok, load } => {
+                self.tell(now, server, false, load.as_ref());
+                self.step(now, api::Event::Probed { server, ok, load });
+            }
+            Event::Peer { from, message } => self.peer(now, from, &message),
+            Event::Members { complete, members } => self.members(now, complete, members),
+            Event::ListFailed => self.step(now, api::Event::ListFailed),
+            Event::Ban { name, banned, answer } => {
+                let called = self.nodes.ban(now, name, banned, &self.log);
+                let _ = answer.send(called.map(|news| self.banned(now, news)));
+            }
+            Event::Marks(marks) => {
+                let news = self.nodes.merge(now, &marks, &self.log);
+                self.banned(now, news);
+            }
+            Event::Settings { site, answer } => {
+                let taken = self.settings(now, *site);
+                let _ = answer.send(taken);
+            }
+            Event::Open => self.held_back = false,
+            Event::Share { part, processes } => {
+                (self.part, self.processes) = (part, processes);
+                self.follow(now);
+            }
+            Event::Drain(within) => {
+                self.draining = true;
+                let at = now.saturating_add(within.as_micros() as Time);
+                self.step(now, api::Event::EndBy(at));
+            }
+        }
+    }
+
+    /// Does what is due: the module's timers, and what the table says.
+    pub fn wake(&mut self, now: Time) {
+        while self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+            self.timers.pop();
+            self.step(now, api::Event::Wake);
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            for id in self.requests.ids() {
+                self.sweep(now, id);
+            }
+        }
+    }
+
+    /// When [`Core::wake`] is to be called next.
+    pub fn due(&self) -> Option<Time> {
+        let timer = self.timers.peek().map(|Reverse(at)| *at);
+        let sweep = (self.requests.len() > 0).then_some(self.next_sweep);
+        timer.into_iter().chain(sweep).min()
+    }
+
+    /// What is to be done, in order.
+    pub fn commands(&mut self) -> Vec<Command> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Requests in the table.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Nodes in the table: those of the list, and those that are gone and still have attempts out.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// The state for balancers in front.
+    pub fn readiness(&self) -> Readiness {
+        let able = self.nodes.any_ready(Role::Writer) && self.nodes.any_ready(Role::Reader);
+        match (self.draining, able) {
+            (true, _) => Readiness::Draining,
+            (false, true) if self.held_back => Readiness::Able,
+            (false, true) => Readiness::Ready,
+            (false, false) => Readiness::Starting,
+        }
+    }
+
+    /// New settings: what follows from them is told to the module and to the fronts.
+    fn settings(&mut self, now: Time, site: Site) -> Result<(), String> {
+        let open = self.requests.classes();
+        for (class, at) in self.site.settings.classes.iter().zip(&mut self.retired) {
+            *at = if class.open { now } else { *at };
+        }
+        // What a front read by the old names may still be on its way.
+        let used = |at: usize| open.contains(&at) || now < self.retired[at].saturating_add(CLASS_QUIET);
+        let site = site.after(&self.site, used)?;
+        self.retired.resize(site.settings.classes.len(), now);
+        let names = site.settings.classes.iter().filter(|class| class.open).count();
+        info!(self.log, "new settings"; "classes" => names, "most_tries" => site.settings.max_attempts);
+        (self.site, self.site_changed) = (Arc::new(site), true);
+        let site = self.site.clone();
+        self.note(|notes| notes.settings(&site));
+        self.follow(now);
+        Ok(())
+    }
+
+    /// The module's settings and the bound on what is held: another process is one more dispatcher to the servers.
+    fn follow(&mut self, now: Time) {
+        let whole = self.site.bounds.most_held.min(self.most_places) as u128;
+        self.most_held = ((whole * u128::from(self.part) / u128::from(PARTS)) as usize).max(1);
+        let mut settings = self.site.settings.clone();
+        settings.balancers = settings.balancers.saturating_mul(self.processes.max(1));
+        self.step(now, api::Event::Settings(settings));
+    }
+
+    /// The settings, where they are new since the last call.
+    pub fn new_site(&mut self) -> Option<Arc<Site>> {
+        std::mem::take(&mut self.site_changed).then(|| self.site.clone())
+    }
+
+    fn request(&mut self, now: Time, ask: Ask, work: Work, answer: oneshot::Sender<Answer>) {
+        let id = ask.id;
+        // An id that is in flight is never a second request: nodes know requests by it alone.
+        if self.requests.is_in_flight(&work.name) {
+            let _ = answer.send(Answer::Duplicate);
+            return;
+        }
+        // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
+        if self.requests.len() >= self.most_held {
+            debug!(self.log, "refused: as much is held as may be"; "held" => self.requests.len());
+            let _ = answer.send(Answer::Refused(Duration::from_micros(self.site.settings.max_retry_after)));
+            return;
+        }
+        self.hearsay.iter_mut().for_each(Hearsay::request);
+        debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
+            "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
+        let class = self.site.settings.classes.get(ask.class);
+        let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
+        self.note(|notes| notes.arrival(now, &ask));
+        self.requests.enter(id, Held::new(now, &ask, work, once, answer));
+        self.step(now, api::Event::Request(ask));
+    }
+
+    fn gone(&mut self, now: Time, id: RequestId, fate: Option<oneshot::Sender<bool>>) {
+        let Some(held) = self.requests.get_mut(id) else { return };
+        held.fate = fate;
+        // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
+        if !std::mem::replace(&mut held.closed, true) {
+            held.answer = None;
+            self.note(|notes| notes.over(now, id, Noted::Left));
+            self.step(now, api::Event::Gone { id });
+        }
+        self.settle(now, id);
+    }
+
+    fn first(&mut self, now: Time, id: RequestId, attempt: u32, stream: mpsc::Receiver<Piece>) {
+        let Some(held) = self.requests.get_mut(id) else { return };
+        // Dropping the stream of an attempt that came too late ends it at its node.
+        if !held.is_open() || !held.is_out(attempt) {
+            return;
+        }
+        let Some(answer) = held.answer.take() else { return };
+        if answer.send(Answer::Served(stream)).is_err() {
+            // The client left at this moment; its ticket tells so.
+            return;
+        }
+        held.begin(attempt);
+        debug!(self.log, "first event"; "id" => id, "attempt" => attempt);
+        self.note(|notes| notes.first(now, id, attempt));
+        self.step(now, api::Event::First { id, attempt });
+    }
+
+    fn ended(
+        &mut self, now: Time, id: RequestId, attempt: u32, status: Status, note: f64, load: Option<Load>,
+    ) {
+        let Some(held) = self.requests.get_mut(id) else { return };
+        let role = |server| self.nodes.get(server).map(|node| node.role);
+        let Some(Ended { server, streamed }) = held.ended(now, attempt, status, note, role) else { return };
+        if let Some(notes) = self.notes.as_mut().filter(|_| streamed) {
+            // By its good end, or by its break; its client may have left before.
+            notes.over(now, id, if status == Status::Ok { Noted::Served } else { Noted::Broken });
+        }
+        // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
+        if status == Status::Rejected {
+            self.close(now, id, Answer::Rejected);
+        }
+        let closed = self.requests.get(id).is_some_and(|held| held.closed);
+        debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
+            "status" => ?status, "note" => note, "closed" => closed);
+        let failed = matches!(status, Status::Reset | Status::Error | Status::ConnectFailed);
+        self.tell(now, server, failed, load.as_ref());
+        self.step(now, api::Event::Outcome { id, attempt, server, status, closed, note, load });
+        self.settle(now, id);
+    }
+
+    fn members(&mut self, now: Time, complete: bool, members: Vec<Member>) {
+        let news = self.nodes.list(complete, members, &self.log);
+        self.note_nodes(now, &news);
+        self.commands.extend(news.commands);
+        let (gone, commands) = self.nodes.forget_gone(&self.requests.busy());
+        for server in gone {
+            self.hearsay.iter_mut().for_each(|hearsay| hearsay.keep(|it| it != server));
+            self.note(|notes| notes.node_gone(server));
+        }
+        self.commands.extend(commands);
+        self.commands.extend(self.nodes.unbar_ready());
+        self.step(now, api::Event::Members { complete, entries: news.entries });
+    }
+
+    /// Operators have taken nodes out of use, or back.
+    fn banned(&mut self, now: Time, news: News) {
+        self.note_nodes(now, &news);
+        self.commands.extend(news.commands);
+        if !news.entries.is_empty() {
+            self.step(now, api::Event::Members { complete: false, entries: news.entries });
+        }
+    }
+
+    fn note_nodes(&mut self, now: Time, news: &News) {
+        if let Some(notes) = &mut self.notes {
+            news.noted.iter().for_each(|(name, entry)| notes.node(now, name, entry));
+        }
+    }
+
+    /// What operators have said, where that is new since the last call.
+    pub fn new_marks(&mut self) -> Option<Marks> {
+        self.nodes.new_marks()
+    }
+
+    /// Tells the module one event and does what it says.
+    fn step(&mut self, now: Time, event: api::Event) {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+                Action::Cancel { id, attempt } => {
+                    let held = self.requests.get(id);
+                    // A stream that has begun belongs to the client and is not withdrawn.
+                    if held.is_some_and(|held| held.begun != Some(attempt) && held.is_out(attempt)) {
+                        self.commands.push(Command::Cancel { id, attempt });
+                    }
+                }
+                Action::Refuse { id, retry_after } => {
+                    self.close(now, id, Answer::Refused(Duration::from_micros(retry_after)));
+                    self.settle(now, id);
+                }
+                Action::Fail { id } => {
+                    self.close(now, id, Answer::Failed);
+                    self.settle(now, id);
+                }
+                Action::Release { id } => {
+                    if let Some(held) = self.requests.get_mut(id) {
+                        (held.known, held.stray) = (false, true);
+                    }
+                    self.settle(now, id);
+                }
+                Action::Wake { at } => self.timers.push(Reverse(at)),
+                Action::Probe { server } => {
+                    let address = self.nodes.get(server).map(|node| node.address.clone());
+                    match address {
+                        Some(address) => self.commands.push(Command::Probe { server, address }),
+                        None => warn!(self.log, "a probe of an unknown node"; "server" => server),
+                    }
+                }
+                // Discovery is always watched.
+                Action::Watch => {}
+            }
+        }
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, server: ServerId, timeout: Time) {
+        let Some(held) = self.requests.get_mut(id) else { return };
+        let attempt = held.attempts.len() as u32;
+        let node = self.nodes.get(server).filter(|node| node.state == State::Ready);
+        let live = held.is_open() && now < held.deadline;
+        held.attempts.push(Attempt { server, out: true });
+        let Some(node) = node.filter(|_| live) else {
+            // What the rules forbid is not sent, whoever asks for it.
+            warn!(self.log, "a send that the rules forbid"; "id" => id, "server" => server);
+            let (status, note, load) = (Status::Moot, 0.0, None);
+            return self.ended(now, id, attempt, status, note, load);
+        };
+        let timeout = if timeout == 0 { Time::MAX } else { timeout }.min(held.deadline - now);
+        debug!(self.log, "send"; "id" => id, "attempt" => attempt, "server" => server);
+        if let Some(notes) = &mut self.notes {
+            notes.sent(now, id, attempt, server);
+        }
+        self.commands.push(Command::Send {
+            id,
+            attempt,
+            address: node.address.clone(),
+            work: held.work.clone(),
+            timeout: Duration::from_micros(timeout),
+            alone: held.once && node.role != Role::Reader, // reading has no effect
+        });
+    }
+
+    /// The one place for final answers but streams.
+    fn close(&mut self, now: Time, id: RequestId, answer: Answer) {
+        let Some(held) = self.requests.get_mut(id).filter(|held| held.is_open()) else { return };
+        held.closed = true;
+        debug!(self.log, "closed"; "id" => id, "answer" => ?answer);
+        let noted = match &answer {
+            Answer::Refused(_) => Noted::Refused,
+            _ => Noted::Failed,
+        };
+        if let Some(waiting) = held.answer.take() {
+            let _ = waiting.send(answer);
+        }
+        self.note(|notes| notes.over(now, id, noted));
+    }
+
+    /// Looks after one request: its deadline, and what was held for too long.
+    fn sweep(&mut self, now: Time, id: RequestId) {
+        let Some(held) = self.requests.get(id) else { return };
+        if held.is_open() && now >= held.deadline {
+            // The module ends requests in time by itself; this guards the client against a mistake there.
+            warn!(self.log, "a deadline passed without an answer"; "id" => id);
+            self.close(now, id, Answer::Failed);
+            self.step(now, api::Event::Gone { id });
+        }
+        self.settle(now, id);
+    }
+
+    /// Lets go of what is held where nothing needs it, and forgets the request when all of it is over.
+    fn settle(&mut self, now: Time, id: RequestId) {
+        let Some(held) = self.requests.get_mut(id) else { return };
+        if held.lets_go(now, self.site.settings.release_within) {
+            // Any node passes it on.
+            let addresses = self.nodes.addresses(held.attempts.iter().map(|attempt| attempt.server));
+            let name = held.work.name.clone();
+            self.commands.push(Command::Release { id, name, addresses });
+        }
+        self.requests.forget_if_over(id);
+    }
+}
--- /dev/null
+++ b/src/dispatch/messages.rs
@@ -0,0 +1,225 @@
+//! What goes in and out of the core: requests, answers, events and commands. No wire, no socket.
+
+use crate::api::{Ask, Entry, Load, RequestId, ServerId, Status};
+use crate::bans::{Marks, Refusal};
+use crate::moving::Half;
+use crate::settings::Site;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// What a node is to be given: the client's own request, kept once.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The name by which the client, and so every node, knows the request.
+    pub name: Arc<str>,
+    /// What is asked for: the client's own path and query.
+    pub target: Arc<str>,
+    /// The request's body.
+    pub body: Bytes,
+}
+
+/// A piece of an answer's stream. Where the channel closes without `End`, the stream has broken.
+#[derive(Debug, PartialEq)]
+pub enum Piece {
+    /// Some of its bytes, as they came.
+    Data(Bytes),
+    /// Its good end.
+    End,
+    /// It is to go on in another process: for the front to have moved, or to let go of.
+    Move(Half),
+}
+
+/// The final answer to a request; there is one for each.
+#[derive(Debug)]
+pub enum Answer {
+    /// A node's stream, from its first event on.
+    Served(mpsc::Receiver<Piece>),
+    /// Nothing was done; trying again is harmless, after this time.
+    Refused(Duration),
+    /// Failed, and nothing is promised about its effect.
+    Failed,
+    /// A request of this name is in flight.
+    Duplicate,
+    /// A node found that the request itself is bad; it did not run.
+    Rejected,
+}
+
+/// A member of the fleet, as discovery tells of it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its name, the same at every dispatcher.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// What the module is told; the core sets its number.
+    pub entry: Entry,
+}
+
+/// What the core hears.
+#[derive(Debug)]
+pub enum Event {
+    /// A client's request.
+    Request {
+        /// What the module is told, with the number that the door gave.
+        ask: Ask,
+        /// What nodes are told.
+        work: Work,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The client has left, or the request's ticket was let go after its end. When all of it is over, `fate`
+    /// is told whether it may have run.
+    Gone {
+        /// The request.
+        id: RequestId,
+        /// Who wants to know.
+        fate: Option<oneshot::Sender<bool>>,
+    },
+    /// An attempt's answer has begun.
+    First {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// Its stream.
+        stream: mpsc::Receiver<Piece>,
+    },
+    /// An attempt has ended; each ends once.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// How.
+        status: Status,
+        /// Tokens found kept, or 1 with `Full` where no state was there.
+        note: f64,
+        /// Tokens of the answer, where that was told.
+        written: f64,
+        /// The node's load, where it was told.
+        load: Option<Load>,
+    },
+    /// What was held for a request has been let go, or could not be.
+    Released(RequestId),
+    /// A probe's answer.
+    Probed {
+        /// The node.
+        server: ServerId,
+        /// It answered.
+        ok: bool,
+        /// Its load, where it was told.
+        load: Option<Load>,
+    },
+    /// A message from another dispatcher.
+    Peer {
+        /// Its number.
+        from: usize,
+        /// As it came.
+        message: Bytes,
+    },
+    /// The list of members, whole or what changed in it.
+    Members {
+        /// Members that are absent are gone.
+        complete: bool,
+        /// The members.
+        members: Vec<Member>,
+    },
+    /// A call for the list failed.
+    ListFailed,
+    /// An operator takes a replica out of use, or back.
+    Ban {
+        /// Its name.
+        name: Arc<str>,
+        /// Out, or back.
+        banned: bool,
+        /// Whether that holds now.
+        answer: oneshot::Sender<Result<(), Refusal>>,
+    },
+    /// New settings. The snapshot that holds from now on goes to whoever watches it.
+    Settings {
+        /// As read, with numbers of its own.
+        site: Box<Site>,
+        /// Whether they were taken.
+        answer: oneshot::Sender<Result<(), String>>,
+    },
+    /// Clients are taken from now on.
+    Open,
+    /// The part of its limits that this process keeps to, of [`PARTS`], and how many processes there are.
+    Share {
+        /// The part.
+        part: u32,
+        /// Processes of this dispatcher.
+        processes: u32,
+    },
+    /// What another process of this dispatcher knows of replicas that are out of use.
+    Marks(Marks),
+    /// The dispatcher is to end: it takes no more from balancers, and serves what still comes. All that is no stream
+    /// has its final answer within this time.
+    Drain(Duration),
+}
+
+/// What the core has done.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+        /// The node's address.
+        address: Arc<str>,
+        /// What it is given.
+        work: Work,
+        /// How long the first event is waited for.
+        timeout: Duration,
+        /// It must not run twice, and so must not go on a kept connection, which its node may have closed: what
+        /// breaks there may have run.
+        alone: bool,
+    },
+    /// Stop waiting for an attempt whose first event the core has not been told of.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: u32,
+    },
+    /// Let go of what is held for a request, at the first of these nodes that can be reached.
+    Release {
+        /// The request.
+        id: RequestId,
+        /// Its name.
+        name: Arc<str>,
+        /// Where it may be told, best first.
+        addresses: Vec<Arc<str>>,
+    },
+    /// Ask a node for its load.
+    Probe {
+        /// The node.
+        server: ServerId,
+        /// Its address.
+        address: Arc<str>,
+    },
+    /// Nothing new may go to this address any more, not even what waits for a connection; or it may again.
+    Bar {
+        /// The address.
+        address: Arc<str>,
+        /// Whether it is barred.
+        barred: bool,
+    },
+}
+
+/// What balancers in front are told; the fronts only render it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// Nothing could be served yet: no reader or no writer is known.
+    Starting,
+    /// Able to serve, but no clients are taken yet.
+    Able,
+    /// Able to serve.
+    Ready,
+    /// About to end; still serving.
+    Draining,
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,76 @@
+//! The core: it owns the [`Router`](crate::Router), the request table, the clock and the timers, and knows no wire.
+//!
+//! [`Core`] is a plain state machine: events in, commands out. [`run`] is the one task that owns it; all else
+//! reaches it through the bounded queue behind a [`Door`]. Here the rules are kept whatever the module says:
+//! one final answer for each request, deadlines, attempt numbers, and the release of what is held.
+
+mod clock;
+mod core;
+mod door;
+mod messages;
+mod nodes;
+mod table;
+
+pub use self::clock::Clock;
+pub use self::core::Core;
+pub use self::door::{door, Door, Inbox, Ticket};
+pub use self::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
+
+use bytes::Bytes;
+use quartzhall_recording::Recorder;
+use slog::info;
+use tokio::sync::mpsc;
+
+/// The task that owns the core: it ends when every door is gone. What the core notes goes to the recorder, what it has
+/// to tell to `others`.
+pub async fn run(
+    mut core: Core, clock: Clock, mut inbox: Inbox, commands: mpsc::Sender<Command>,
+    recorder: Option<Recorder>, others: Option<mpsc::Sender<Bytes>>,
+) {
+    loop {
+        let due = core.due().map(|at| clock.instant(at));
+        let sleep = async {
+            match due {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            event = inbox.next() => match event {
+                Some(event) => core.hear(clock.now(), event),
+                None => break,
+            },
+            () = sleep => {}
+        }
+        // Everything that has come in by now is one batch, heard in the order in which it came.
+        let now = clock.now();
+        while let Some(event) = inbox.at_once() {
+            core.hear(now, event);
+        }
+        core.wake(now);
+        for command in core.commands() {
+            if commands.send(command).await.is_err() {
+                return;
+            }
+        }
+        if let (Some(others), Some(message)) = (&others, core.to_tell(now)) {
+            let _ = others.try_send(message); // where it would have to wait it is not worth it
+        }
+        if let Some(recorder) = &recorder {
+            core.notes().into_iter().for_each(|note| recorder.note(note));
+        }
+        if let Some(site) = core.new_site() {
+            inbox.site.send_replace(site);
+        }
+        if let Some(marks) = core.new_marks() {
+            inbox.marks.send_replace(marks);
+        }
+        let ready = core.readiness();
+        if inbox.readiness.send_if_modified(|old| std::mem::replace(old, ready) != ready) {
+            info!(core.log, "readiness"; "state" => ?ready);
+        }
+        let open = core.open();
+        inbox.open.send_if_modified(|old| std::mem::replace(old, open) != open);
+    }
+}
--- /dev/null
+++ b/src/dispatch/table.rs
@@ -0,0 +1,192 @@
+//! The request table: what is known of each request from its arrival until all of it is over.
+
+use super::messages::{Answer, Work};
+use crate::api::{Ask, RequestId, Role, ServerId, Status, Time};
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// A state that nobody asks for is let go after this part (in tenths) of the time in which it must be ...
+const STRAY_TENTHS: Time = 4;
+/// ... and one that the module knows of, which lets it go sooner by itself, after this part.
+const KNOWN_TENTHS: Time = 9;
+
+/// One attempt for a request.
+pub(super) struct Attempt {
+    pub server: ServerId,
+    pub out: bool,
+}
+
+/// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
+pub(super) struct Held {
+    pub class: usize,
+    pub work: Work,
+    pub once: bool, // it must not run twice
+    pub answer: Option<oneshot::Sender<Answer>>,
+    pub deadline: Time,
+    pub attempts: Vec<Attempt>,
+    pub closed: bool,
+    pub begun: Option<u32>,
+    pub known: bool, // the module knows of a state that waits
+    pub stray: bool, // a state may be left that the module does not know of
+    pub idle_since: Time,
+    pub releasing: bool,
+    pub ran: bool, // it may have: something other than a read ended without proof that it never ran
+    pub fate: Option<oneshot::Sender<bool>>,
+}
+
+/// An attempt that has ended: where it was, and whether it was the stream of a request not closed before.
+pub(super) struct Ended {
+    pub server: ServerId,
+    pub streamed: bool,
+}
+
+impl Held {
+    /// As it arrives.
+    pub fn new(now: Time, ask: &Ask, work: Work, once: bool, answer: oneshot::Sender<Answer>) -> Self {
+        Held {
+            class: ask.class,
+            work,
+            once,
+            answer: Some(answer),
+            deadline: now.saturating_add(ask.expires_in),
+            attempts: Vec::new(),
+            closed: false,
+            begun: None,
+            known: false,
+            stray: false,
+            idle_since: now,
+            releasing: false,
+            ran: false,
+            fate: None,
+        }
+    }
+
+    pub fn out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.out)
+    }
+
+    pub fn is_out(&self, attempt: u32) -> bool {
+        self.attempts.get(attempt as usize).is_some_and(|it| it.out)
+    }
+
+    /// Nothing of its answer is settled yet.
+    pub fn is_open(&self) -> bool {
+        !self.closed && self.begun.is_none()
+    }
+
+    /// An attempt's first event has gone to the client: with it all else that nodes hold goes by itself.
+    pub fn begin(&mut self, attempt: u32) {
+        (self.begun, self.known, self.stray) = (Some(attempt), false, false);
+        self.work.body = bytes::Bytes::new(); // nothing is sent for it any more
+    }
+
+    /// An attempt has ended: what may be held and what may have run by that. `None`: it was not out.
+    pub fn ended(
+        &mut self, now: Time, attempt: u32, status: Status, note: f64,
+        role: impl Fn(ServerId) -> Option<Role>,
+    ) -> Option<Ended> {
+        let ended = self.attempts.get_mut(attempt as usize).filter(|it| it.out)?;
+        ended.out = false;
+        let server = ended.server;
+        self.idle_since = now;
+        let stream = self.begun == Some(attempt);
+        let streamed = stream && !self.closed;
+        self.closed |= stream;
+        let role = role(server);
+        let proven = matches!(
+            status,
+            Status::Full | Status::ConnectFailed | Status::Moot | Status::Read | Status::Rejected
+        );
+        self.ran |= !proven && role != Some(Role::Reader);
+        match status {
+            Status::Read => self.known = true,
+            // The read may have ended well at the moment its connection broke or was closed.
+            Status::Cancelled | Status::Reset | Status::Stale | Status::Timeout | Status::Error
+                if role != Some(Role::Writer) =>
+            {
+                self.stray = true
+            }
+            Status::Full if note > 0.0 => self.known = false,
+            _ => {}
+        }
+        Some(Ended { server, streamed })
+    }
+
+    /// Whether what is held is to be let go of now, where nothing needs it; if so that is under way from here on.
+    pub fn lets_go(&mut self, now: Time, release_within: Time) -> bool {
+        let idle = now.saturating_sub(self.idle_since);
+        let limit = |tenths: Time| release_within * tenths / 10;
+        let late = self.stray && !self.known && idle >= limit(STRAY_TENTHS) || idle >= limit(KNOWN_TENTHS);
+        // While an attempt waits for the state, nothing may let go of it; a stream needs it no more.
+        let free = self.begun.is_some() || !self.out();
+        let unwanted = self.closed || self.begun.is_some() || late;
+        let lets_go = (self.known || self.stray) && free && unwanted && !self.releasing;
+        if lets_go {
+            (self.known, self.stray, self.releasing) = (false, false, true);
+        }
+        lets_go
+    }
+
+    /// Nothing of it is left to be done.
+    fn is_over(&self) -> bool {
+        self.closed && !self.out() && !self.releasing
+    }
+}
+
+/// The table: requests by number, and the names that are in flight.
+#[derive(Default)]
+pub(super) struct Table {
+    requests: BTreeMap<RequestId, Held>,
+    names: HashSet<Arc<str>>,
+}
+
+impl Table {
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn is_in_flight(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
+    pub fn enter(&mut self, id: RequestId, held: Held) {
+        self.names.insert(held.work.name.clone());
+        self.requests.insert(id, held);
+    }
+
+    pub fn get(&self, id: RequestId) -> Option<&Held> {
+        self.requests.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Held> {
+        self.requests.get_mut(&id)
+    }
+
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.requests.keys().copied().collect()
+    }
+
+    /// Classes of which some request is in the table.
+    pub fn classes(&self) -> HashSet<usize> {
+        self.requests.values().map(|held| held.class).collect()
+    }
+
+    /// Nodes at which an attempt is out.
+    pub fn busy(&self) -> HashSet<ServerId> {
+        let attempts = self.requests.values().flat_map(|held| &held.attempts);
+        attempts.filter(|it| it.out).map(|it| it.server).collect()
+    }
+
+    /// Forgets a request when all of it is over, and tells who wants to know whether it may have run.
+    pub fn forget_if_over(&mut self, id: RequestId) {
+        if !self.requests.get(&id).is_some_and(Held::is_over) {
+            return;
+        }
+        let Some(held) = self.requests.remove(&id) else { return };
+        self.names.remove(&held.work.name);
+        if let Some(fate) = held.fate {
+            let _ = fate.send(held.ran);
+        }
+    }
+}
