Give up an attempt whose answer is lost for another server, where no second copy may be

Now help() asks what could be sent if the attempt had ended, and cancels it; it is placed anew when it has ended. Only one that later attempts at the same server have overtaken: servers answer in order, and a jam overtakes nobody. It is looked at again every fifth of the shortest aim.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -131,6 +131,7 @@
     own_then: Counts,
     /// Attempts with neither 'read' nor first token yet: when sent, seconds predicted, class.
     waiting: BTreeMap<(RequestId, usize), (Time, f64, usize)>,
+    begun: Time,                     // when the last of those was sent that are over
     slower: f64,                     // by what part waits take longer than by the shared model
     health: BTreeMap<usize, Health>, // by class
     asked_at: Option<Time>,          // a probe is out
@@ -207,7 +208,7 @@
     out: bool,
     harmless: bool, // it ended without effect: reading has none, and some outcomes prove that it never ran
     first_at: Option<Time>,
-    checked: bool, // it was found overdue, and what could be done was done
+    check_at: Time, // it was found overdue, and is looked at again then
 }
 
 #[derive(Default)]
@@ -492,6 +493,7 @@
     fn observed(&mut self, ask: &Ask, at: usize, attempt: &Attempt, inputs: &Inputs) {
         let Some(server) = self.servers.get_mut(&attempt.choice.server) else { return };
         server.waiting.remove(&(ask.id, at));
+        server.begun = server.begun.max(attempt.sent);
         let health = server.health_mut(ask.class);
         blend(&mut health.failing, 0.0);
         health.pauses = 0;
@@ -524,7 +526,7 @@
         // A broken connection is one failure; that of a dead server is followed by one that does not open.
         let dead = status == Status::ConnectFailed;
         let failed = matches!(status, Status::Reset | Status::Error) || status == Status::Full && note == 0.0;
-        if dead || failed || (status == Status::Timeout && attempt.checked) {
+        if dead || failed || (status == Status::Timeout && attempt.check_at > 0) {
             let answered = matches!(status, Status::Error | Status::Full);
             self.blame(server, answered.then_some(request.ask.class), dead);
         }
@@ -542,15 +544,13 @@
                     request.state_at = Some(server);
                     self.cancel_all(request, |attempt| attempt.stage == Stage::Read);
                 } else if request.begun {
-                    // A second copy that was read all the same. Before the first token it must wait, for a
-                    // release would take the state that a writer is sent for.
+                    // A second copy; before the first token a release would take the state that is sent for.
                     self.act(request, Action::Release { id });
                 }
             }
             Status::Ok => self.streamed(&request.ask, attempt, note),
             Status::Full if note > 0.0 => request.state_at = None,
-            // It may have taken the state, which is given up where asking another writer first would leave
-            // too few attempts to read anew and write.
+            // It may have taken the state: given up where too few attempts would be left to read and write.
             Status::Error | Status::Reset | Status::Stale if attempt.stage == Stage::Write => {
                 let left = self.settings.max_attempts.saturating_sub(request.attempts.len() as u32);
                 request.state_at = request.state_at.filter(|_| left >= 3);
@@ -640,8 +640,7 @@
         self.send(request, stage, choice);
     }
 
-    /// Asks likely servers for their load before the choice: a router of hundreds hears too seldom from any.
-    /// True while answers are awaited.
+    /// Asks likely servers for their load before the choice; true while it waits for answers.
     fn asks_first(&mut self, request: &mut Request, choices: &[Choice]) -> bool {
         if request.asked.is_none() && self.settings.may_probe && self.settings.reports != Reports::Never {
             let (now, due) = (self.now, self.now + self.asking(request));
@@ -700,9 +699,8 @@
     }
 
     /// Tokens that readers are presumed to keep of a prompt, where the table can't know: all routers rank the
-    /// readers alike by a hash of the text, so that without talk a text comes back to the same part of
-    /// them, and a session to the same one of these. A cold one is home to what it can take: texts come to
-    /// it one after another as it warms. A zone with too few readers has further homes in the others.
+    /// readers alike by a hash of the text, so that it comes back to the same ones, and a session to one of them.
+    /// A cold one is home to what it can take. A zone with too few readers has further homes in the others.
     fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
         let rank = |text, it: &Server| {
             let even = (mix(text, it.entry.key) >> 12) as f64 + 0.5;
@@ -915,8 +913,7 @@
         sent + 1.0 <= able * self.flow[FINISHED][side(stage)] / bearing || lot < part - sent
     }
 
-    /// Servers that bear the load of a stage, and whether any is warm. Those that drain or are cold bear none
-    /// that would tell; where no other does, the cold ones do.
+    /// Ready servers that bear a stage's load: the warm ones, or where there are none all; and which of both.
     fn bearing(&self, stage: Stage) -> (f64, bool) {
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
         let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
@@ -954,12 +951,10 @@
     }
 
     fn check_at(&self, attempt: &Attempt) -> Time {
-        if !attempt.out || attempt.checked || attempt.stage == Stage::Whole {
-            return Time::MAX;
-        }
         let (predicted, spread) = (attempt.choice.predicted, self.models[side(attempt.stage)].spread);
         let limit = (predicted + OVERDUE_SPREADS * spread).max(predicted * OVERDUE_MULTIPLE);
-        attempt.sent + ((limit * 1e6) as Time).max(self.settings.tick)
+        let never = u64::from(!attempt.out || attempt.stage == Stage::Whole) * Time::MAX;
+        (attempt.sent + ((limit * 1e6) as Time).max(self.settings.tick)).max(attempt.check_at).max(never)
     }
 
     fn look_at(&mut self, request: &mut Request) {
@@ -975,21 +970,26 @@
 
     /// An attempt is overdue and another server fits: a second read, or another writer for the waiting state.
     fn help(&mut self, request: &mut Request, at: usize) {
-        request.attempts[at].checked = true;
-        let (id, server) = (request.ask.id, request.attempts[at].choice.server);
-        if self.spare < 1.0 || request.attempts.len() as u32 + 2 > self.settings.max_attempts {
+        let (tries, copies) = (request.attempts.len() as u32, self.settings.second_copies);
+        let attempt = &mut request.attempts[at];
+        let (server, writes) = (attempt.choice.server, attempt.stage == Stage::Write);
+        // Where no second copy may be, one is given up once later ones there are over: its answer is lost.
+        let helped = copies || self.servers.get(&server).is_some_and(|it| it.begun > attempt.sent);
+        attempt.check_at = if helped { Time::MAX } else { self.now + self.pause / 5 };
+        if !helped || self.spare < 1.0 || tries + 2 > self.settings.max_attempts {
             return;
         }
-        let writes = request.attempts[at].stage == Stage::Write;
         let reader = request.state_at.and_then(|reader| self.servers.get(&reader));
+        request.attempts[at].out = !writes && copies;
         let mut choices = if writes { self.writers(request, reader) } else { self.readers(request) };
+        request.attempts[at].out = true;
         // A text that is read where it has no home pushes out what others come back for.
         let home = |it: ServerId| writes || request.homes.len() < 2 || request.homes.contains_key(&it);
         choices.retain(|it| it.server != server && it.chance >= FIT && home(it.server));
         let Some(choice) = self.draw(choices) else { return };
         self.spare -= 1.0;
-        if writes {
-            self.act(request, Action::Cancel { id, attempt: at as u32 });
+        if writes || !copies {
+            self.act(request, Action::Cancel { id: request.ask.id, attempt: at as u32 });
         } else {
             self.send(request, Stage::Read, choice);
         }
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -152,6 +152,46 @@
     assert!(early >= 12, "{early} of the first 14: the rack is left only when it is nearly full");
 }
 
+/// What is done for a request whose read falls silent, where later ones at its reader come back or don't.
+fn after_silence(second_copies: bool, others_come_back: bool) -> Vec<Action> {
+    let alone = Settings { second_copies, ..settings(vec![class(3.0, Effect::Safe)]) };
+    let mut desk = Desk::new(alone, fleet());
+    for id in 0..80 {
+        desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
+    }
+    let reader = sent_to(&desk.ask(ask(1_000, 1_000)), 1_000).expect("sent");
+    desk.pass(2 * MS);
+    let later = (2_000..2_020).filter(|id| sent_to(&desk.ask(ask(*id, *id)), *id) == Some(reader));
+    let later: Vec<RequestId> = later.collect();
+    assert!(!later.is_empty(), "some go to the same reader");
+    let mut actions = desk.pass(40 * MS);
+    for id in later.into_iter().filter(|_| others_come_back) {
+        actions.extend(desk.outcome(id, 0, reader, Status::Read));
+    }
+    actions.extend(desk.pass(SECOND));
+    actions.extend(desk.outcome(1_000, 0, reader, Status::Cancelled));
+    let of_it = |it: &Action| matches!(it, Action::Cancel { id: 1_000, .. } | Action::Send { id: 1_000, .. });
+    actions.retain(of_it);
+    actions
+}
+
+#[test]
+fn a_read_whose_answer_is_lost_is_given_up_where_no_copy_is_allowed() {
+    // A connection that falls silent held its request until the client's time was up: no second copy may be sent, and
+    // nothing ended the first.
+    let lost = after_silence(false, true);
+    assert!(matches!(lost[0], Action::Cancel { id: 1_000, attempt: 0 }), "{lost:?}");
+    assert!(
+        matches!(lost[1], Action::Send { id: 1_000, .. }),
+        "elsewhere, once the first has ended: {lost:?}"
+    );
+    let copied = after_silence(true, true);
+    assert!(matches!(copied[0], Action::Send { id: 1_000, .. }), "a copy where that is allowed: {copied:?}");
+    // A reader that is only slow answers in order: what waits there is not begun anew elsewhere.
+    let waits = after_silence(false, false);
+    assert!(!matches!(waits[0], Action::Cancel { .. }), "{waits:?}");
+}
+
 #[test]
 fn a_dead_server_is_set_aside_and_tried_again_alone() {
     let mut desk = taught();
