--- a/src/logic.rs
+++ b/src/logic.rs
@@ -699,7 +699,7 @@
     }
 
     /// Tokens that readers are presumed to keep of a prompt, where the table can't know: all routers rank the
-    /// readers alike by a hash of the text, so that it comes back to the same ones, and a session to one of them.
+    /// readers alike by a hash of the text, so that it comes back to the same, and a session to one of them.
     /// A cold one is home to what it can take. A zone with too few readers has further homes in the others.
     fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
         let rank = |text, it: &Server| {
