--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -2,6 +2,7 @@
 
 use super::messages::{Answer, Work};
 use crate::api::{Ask, RequestId, Role, ServerId, Status, Time};
+use bytes::Bytes;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -78,7 +79,7 @@
     /// An attempt's first event has gone to the client: with it all else that nodes hold goes by itself.
     pub fn begin(&mut self, attempt: u32) {
         (self.begun, self.known, self.stray) = (Some(attempt), false, false);
-        self.work.body = bytes::Bytes::new(); // nothing is sent for it any more
+        self.work.body = Bytes::new(); // nothing is sent for it any more
     }
 
     /// An attempt has ended: what may be held and what may have run by that. `None`: it was not out.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -444,15 +444,14 @@
         };
         let (aim, worth) = (seconds(class.aim).max(1e-3), class.worth);
         let aim_at = self.now + class.aim + (class.aim_per_1000_tokens as f64 * ask.prompt / 1000.0) as Time;
-        let part = if self.over_share(ask.tenant) { self.settings.over_share_worth } else { 1.0 };
+        let worth = worth * if self.over_share(ask.tenant) { self.settings.over_share_worth } else { 1.0 };
         let end_at = self.now.saturating_add(ask.expires_in).saturating_sub(2 * self.settings.tick);
         let end_at = end_at.min(self.ends_at);
         self.spare = (self.spare + SPARE_PER_REQUEST).min(SPARE_MOST);
         let aim_at = aim_at.min(end_at);
         self.recent.push_back(ask.prefix.unwrap_or(0));
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
-        self.requests
-            .insert(id, Request { ask, end_at, aim, aim_at, worth: worth * part, ..Request::default() });
+        self.requests.insert(id, Request { ask, end_at, aim, aim_at, worth, ..Request::default() });
         self.with(id, Self::place);
     }
 
@@ -629,8 +628,7 @@
         // A lot that lets a request go to a cold server is drawn in proportion: it is used where that one
         // fits, or the rest would jam. Where routers are few a ration is counted, and tells not what to send.
         let lots = request.homes.is_empty() || request.state_at.is_some();
-        let rationed =
-            |it: &Choice| it.chance >= FIT && self.servers[&it.server].age(&self.settings, self.now) < 1.0;
+        let rationed = |it: &Choice| it.chance >= FIT && self.is_cold(&self.servers[&it.server]);
         if self.share >= FEW && lots && choices.iter().any(rationed) {
             choices.retain(rationed);
         }
@@ -677,8 +675,8 @@
             self.usual += (1.0 - FORGET) * (wait - self.usual);
             return false;
         }
-        let worth = |class: &Class| if class.open { class.worth } else { f64::MAX };
-        let lowest = self.settings.classes.iter().map(worth).fold(f64::MAX, f64::min);
+        let open = self.settings.classes.iter().filter(|class| class.open);
+        let lowest = open.map(|class| class.worth).fold(f64::MAX, f64::min);
         wait > self.usual + ABOVE_USUAL * request.aim && (request.worth <= lowest || chance < HOPELESS)
     }
 
@@ -781,14 +779,13 @@
         let overdue = server.overdue(self.now, 2.0 * model.spread);
         let left = seconds(request.aim_at) - seconds(self.now) - later - corrected - overdue;
         // How long a stall still lasts is unknown: a state that waits goes elsewhere before it is hopeless.
-        let unknown =
-            model.spread.max(LEAST_SPREAD * request.aim) + request.state_at.map_or(0.0, |_| overdue);
+        let spread = model.spread.max(LEAST_SPREAD * request.aim) + request.state_at.map_or(0.0, |_| overdue);
         Choice {
             server: server.entry.server,
             inputs,
             predicted: corrected + overdue,
             headroom: left / request.aim,
-            chance: odds(left / unknown) * (1.0 - server.health(request.ask.class).failing),
+            chance: odds(left / spread) * (1.0 - server.health(request.ask.class).failing),
             price: if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price },
             ..Choice::default()
         }
@@ -849,11 +846,11 @@
         choices.into_iter().nth(at)
     }
 
-    fn send(&mut self, request: &mut Request, stage: Stage, choice: Choice) -> bool {
+    fn send(&mut self, request: &mut Request, stage: Stage, choice: Choice) {
         let (id, server, sent) = (request.ask.id, choice.server, self.now);
         let allowed = self.servers.get(&server).is_some_and(|server| self.may_send(request, server, stage));
         let held = request.ask.prompt + if stage == Stage::Read { 0.0 } else { self.tokens(&request.ask) };
-        let Some(to) = self.servers.get_mut(&server).filter(|_| allowed) else { return false };
+        let Some(to) = self.servers.get_mut(&server).filter(|_| allowed) else { return };
         to.sent.extend((to.age(&self.settings, sent) < 1.0).then_some(sent));
         let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, to.part_of_memory(held)];
         add(&mut to.own, &work, 1.0);
@@ -862,7 +859,6 @@
         // Not harmless yet, reads neither: while one is out, nothing proves that it had no effect.
         request.attempts.push(Attempt { choice, stage, sent, work, out: true, ..Attempt::default() });
         self.out.push(Action::Send { id, server, timeout: request.end_at.saturating_sub(sent) });
-        true
     }
 
     fn may_send(&self, request: &Request, server: &Server, stage: Stage) -> bool {
@@ -895,7 +891,7 @@
     /// lot, lest a hundred routers make a hundred sends of it, and by each request anew: where requests are
     /// few, a lot that holds for a span mostly lapses, and the cold ones stand idle while the rest jams.
     fn cold_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        if server.age(&self.settings, self.now) >= 1.0 {
+        if !self.is_cold(server) {
             return true;
         }
         let since = self.now.saturating_sub(self.settings.fall);
@@ -913,13 +909,17 @@
         sent + 1.0 <= able * self.flow[FINISHED][side(stage)] / bearing || lot < part - sent
     }
 
+    fn is_cold(&self, server: &Server) -> bool {
+        server.age(&self.settings, self.now) < 1.0
+    }
+
     /// Ready servers that bear a stage's load: the warm ones, or where there are none all; and which of both.
     fn bearing(&self, stage: Stage) -> (f64, bool) {
         let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
         let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
-        let ready = self.servers.values().filter(ready);
-        let (warm, cold): (Vec<_>, Vec<_>) = ready.partition(|it| it.age(&self.settings, self.now) >= 1.0);
-        (if warm.is_empty() { cold.len().max(1) } else { warm.len() } as f64, !warm.is_empty())
+        let warm = self.servers.values().filter(ready).filter(|it| !self.is_cold(it)).count();
+        let ready = self.servers.values().filter(ready).count().max(1);
+        (if warm > 0 { warm } else { ready } as f64, warm > 0)
     }
 
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
@@ -980,6 +980,7 @@
             return;
         }
         let reader = request.state_at.and_then(|reader| self.servers.get(&reader));
+        // What could be sent is asked as if it had ended, which it does first where there is no second copy.
         request.attempts[at].out = !writes && copies;
         let mut choices = if writes { self.writers(request, reader) } else { self.readers(request) };
         request.attempts[at].out = true;
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -14,6 +14,15 @@
     Desk::new(settings(vec![class(3.0, Effect::Safe), class(1.0, Effect::Safe)]), fleet())
 }
 
+/// A router that has served 80 requests one after another, with streams of this length.
+fn served(settings: Settings, servers: Vec<Entry>, stream: Time) -> Desk {
+    let mut desk = Desk::new(settings, servers);
+    for id in 0..80 {
+        desk.serve(ask(id, id), 40 * MS, 30 * MS, stream);
+    }
+    desk
+}
+
 fn taught() -> Desk {
     let mut desk = desk();
     for id in 0..80 {
@@ -75,10 +84,7 @@
 #[test]
 fn a_slow_reader_is_learned_and_avoided() {
     let alone = Settings { second_copies: false, ..settings(vec![class(3.0, Effect::Safe)]) };
-    let mut desk = Desk::new(alone, fleet());
-    for id in 0..80 {
-        desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
-    }
+    let mut desk = served(alone, fleet(), 50 * MS);
     let mut slow = 0;
     for id in 1_000..1_100 {
         let took = |reader| if reader == 1 { 700 * MS } else { 40 * MS };
@@ -104,10 +110,7 @@
     let fleet = [cell(1, Role::Reader, 0), cell(11, Role::Writer, 0), cell(12, Role::Writer, 1)];
     let alone =
         Settings { far_price: 0.08, reports: Reports::Never, ..settings(vec![class(3.0, Effect::Safe)]) };
-    let mut desk = Desk::new(alone, fleet.to_vec());
-    for id in 0..80 {
-        desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
-    }
+    let mut desk = served(alone, fleet.to_vec(), 50 * MS);
     let mut written = |id, after| {
         let reader = sent_to(&desk.ask(ask(id, id)), id).expect("read");
         desk.pass(40 * MS);
@@ -133,10 +136,7 @@
         reports: Reports::Never,
         ..settings(vec![class(3.0, Effect::Safe)])
     };
-    let mut desk = Desk::new(settings, fleet.to_vec());
-    for id in 0..80 {
-        desk.serve(ask(id, id), 40 * MS, 30 * MS, 2 * SECOND);
-    }
+    let mut desk = served(settings, fleet.to_vec(), 2 * SECOND);
     let mut writers = vec![];
     for id in 1_000..1_040 {
         let reader = sent_to(&desk.ask(ask(id, id)), id).expect("read");
@@ -155,10 +155,7 @@
 /// What is done for a request whose read falls silent, where later ones at its reader come back or don't.
 fn after_silence(second_copies: bool, others_come_back: bool) -> Vec<Action> {
     let alone = Settings { second_copies, ..settings(vec![class(3.0, Effect::Safe)]) };
-    let mut desk = Desk::new(alone, fleet());
-    for id in 0..80 {
-        desk.serve(ask(id, id), 40 * MS, 30 * MS, 50 * MS);
-    }
+    let mut desk = served(alone, fleet(), 50 * MS);
     let reader = sent_to(&desk.ask(ask(1_000, 1_000)), 1_000).expect("sent");
     desk.pass(2 * MS);
     let later = (2_000..2_020).filter(|id| sent_to(&desk.ask(ask(*id, *id)), *id) == Some(reader));
