Give up a silent watch before what it misses counts as told

The log of all six dispatchers has "discovery failed ... no answer in time" at 9.26 to 9.28 s, and the list changed at 3.27 s: the watch opened then fell silent at once, what it missed counts as told 6 s after that, and was noticed after HOLD + LATE = 6.5 s (src/discovery.rs:22-25,129). Ruled out: that the next call was slow (the send came 0.02 s before the call was given up).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -6,6 +6,7 @@
 use crate::backoff::Backoff;
 use crate::dispatch::{Door, Event, Member};
 use crate::settings::{MemberLine, MemberList, Site};
+use crate::watch::{Watch, RETRY};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
@@ -15,16 +16,9 @@
 use miniserde::json;
 use slog::{debug, info, warn, Logger};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch waits for something new.
-const HOLD: Duration = Duration::from_secs(4);
-/// An agent that has not answered so long after it should have is silent: the call is made again. Where discovery
-/// has much to do a call waits its turn, and one that is given up has cost as much as one that was answered.
-const LATE: Duration = Duration::from_millis(2500);
-/// Between a call that nobody answered and the next: nobody is worse off for it.
-const RETRY: Duration = Duration::from_millis(100);
 /// A list is not read beyond this.
 const LONGEST: usize = 4 * 1024 * 1024;
 
@@ -96,8 +90,7 @@
 /// Watches discovery for as long as the dispatcher runs, at the address that it was last told of.
 /// `seed` is this dispatcher's own; `known` the revision of the list that it has, if it has one.
 pub async fn run(
-    mut address: watch::Receiver<String>, mut site: Site, seed: u64, mut known: Option<u64>, door: Door,
-    log: Logger,
+    mut address: Receiver<String>, mut site: Site, seed: u64, mut known: Option<u64>, door: Door, log: Logger,
 ) {
     let mut backoff = Backoff::new(site.settings.balancers, seed);
     // Where lists must be asked for, that costs discovery work, and all that were ended together start together.
@@ -122,21 +115,17 @@
     address: &str, site: &mut Site, known: Option<u64>, backoff: &mut Backoff, door: &Door, log: &Logger,
 ) {
     let agent = agent();
-    let mut revision = known;
+    let mut watch = Watch::from(known);
     loop {
-        let (target, patience) = match revision {
-            None => ("/v1/endpoints".to_owned(), LATE),
-            Some(from) => (format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()), HOLD + LATE),
-        };
-        let called = timeout(patience, call(&agent, address, &target)).await;
+        let next = watch.call();
+        let called = timeout(next.patience, call(&agent, address, &next.target)).await;
         match called.unwrap_or_else(|_| Err(Failure::Silent("no answer in time".into()))) {
             Ok(list) => {
                 backoff.succeeded();
                 debug!(log, "a list"; "revision" => list.revision, "complete" => list.complete,
                     "members" => list.members.len());
-                let same = revision == Some(list.revision) && list.members.is_empty() && !list.complete;
-                revision = Some(list.revision);
-                if !same {
+                let news = !list.members.is_empty() || list.complete;
+                if watch.answered(list.revision) || news {
                     door.tell(members(site, &list, log)).await;
                 }
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,5 +94,6 @@
 pub mod reload;
 pub mod settings;
 pub mod strict;
+pub mod watch;
 
 pub use logic::Router;
