A send that reached nobody gives a held state no new time; lease calls don't wait for silent nodes

Followed request by debug logs: read at server 6 at 18.515 s, sent to writer 14 at 18.949, which never came up (ConnectFailed at 19.201), refused and let go of at 20.003 s, 0.8 s after that; the rule broke at 19.796, 1.3 s after the read. Lease calls went to the servers of all attempts in order, 150 ms each where they were silent (nodes/mod.rs release), two of them before the reader that had the state. Ruled out: a release that was never sent (no 'could not be let go' in the logs).

Outcomes that reached nobody leave the time as it is; servers that have answered are called first, and the next is called after 50 ms. Each of the three changes taken back fails a test.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -417,7 +417,7 @@
         let attempt = held.attempts.len() as u32;
         let node = self.nodes.get(server).filter(|node| node.state == State::Ready);
         let live = held.is_open() && now < held.deadline;
-        held.attempts.push(Attempt { server, out: true });
+        held.attempts.push(Attempt { server, out: true, reached: false });
         let Some(node) = node.filter(|_| live) else {
             // What the rules forbid is not sent, whoever asks for it.
             warn!(self.log, "a send that the rules forbid"; "id" => id, "server" => server);
@@ -471,7 +471,7 @@
         let Some(held) = self.requests.get_mut(id) else { return };
         if held.lets_go(now, self.site.settings.release_within) {
             // Any node passes it on.
-            let addresses = self.nodes.addresses(held.attempts.iter().map(|attempt| attempt.server));
+            let addresses = self.nodes.addresses(held.tried());
             let name = held.work.name.clone();
             self.commands.push(Command::Release { id, name, addresses });
         }
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -77,8 +77,7 @@
         }
     }
 
-    /// Where something may be passed on for a request, best first: those that had an attempt, which are likely to be
-    /// up, then any other.
+    /// Where something may be passed on for a request: where it was tried, in that order, then any other.
     pub fn addresses(&self, tried: impl Iterator<Item = ServerId>) -> Vec<Arc<str>> {
         let tried = tried.filter_map(|server| self.nodes.get(&server));
         let rest = self.nodes.values().filter(|node| node.state == State::Ready);
--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -16,6 +16,7 @@
 pub(super) struct Attempt {
     pub server: ServerId,
     pub out: bool,
+    pub reached: bool, // its node has answered
 }
 
 /// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
@@ -28,9 +29,9 @@
     pub attempts: Vec<Attempt>,
     pub closed: bool,
     pub begun: Option<u32>,
-    pub known: bool, // the module knows of a state that waits
-    pub stray: bool, // a state may be left that the module does not know of
-    pub idle_since: Time,
+    pub known: bool,      // the module knows of a state that waits
+    pub stray: bool,      // a state may be left that the module does not know of
+    pub idle_since: Time, // since the last attempt that reached a node was over
     pub releasing: bool,
     pub ran: bool, // it may have: something other than a read ended without proof that it never ran
     pub fate: Option<oneshot::Sender<bool>>,
@@ -67,6 +68,12 @@
         self.attempts.iter().any(|attempt| attempt.out)
     }
 
+    /// Servers of its attempts: first those that have answered, the last before the others.
+    pub fn tried(&self) -> impl Iterator<Item = ServerId> + '_ {
+        let by = |reached| self.attempts.iter().rev().filter(move |it| it.reached == reached);
+        by(true).chain(by(false)).map(|it| it.server)
+    }
+
     pub fn is_out(&self, attempt: u32) -> bool {
         self.attempts.get(attempt as usize).is_some_and(|it| it.out)
     }
@@ -89,8 +96,12 @@
     ) -> Option<Ended> {
         let ended = self.attempts.get_mut(attempt as usize).filter(|it| it.out)?;
         ended.out = false;
+        ended.reached = matches!(status, Status::Read | Status::Full | Status::Error | Status::Rejected);
         let server = ended.server;
-        self.idle_since = now;
+        // While connections don't come up, the time in which a state is to be taken runs on.
+        if !matches!(status, Status::ConnectFailed | Status::Moot) {
+            self.idle_since = now;
+        }
         let stream = self.begun == Some(attempt);
         let streamed = stream && !self.closed;
         self.closed |= stream;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -446,9 +446,8 @@
         let aim_at = self.now + class.aim + (class.aim_per_1000_tokens as f64 * ask.prompt / 1000.0) as Time;
         let worth = worth * if self.over_share(ask.tenant) { self.settings.over_share_worth } else { 1.0 };
         let end_at = self.now.saturating_add(ask.expires_in).saturating_sub(2 * self.settings.tick);
-        let end_at = end_at.min(self.ends_at);
         self.spare = (self.spare + SPARE_PER_REQUEST).min(SPARE_MOST);
-        let aim_at = aim_at.min(end_at);
+        let (end_at, aim_at) = (end_at.min(self.ends_at), aim_at.min(end_at).min(self.ends_at));
         self.recent.push_back(ask.prefix.unwrap_or(0));
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
         self.requests.insert(id, Request { ask, end_at, aim, aim_at, worth, ..Request::default() });
@@ -529,7 +528,8 @@
             let answered = matches!(status, Status::Error | Status::Full);
             self.blame(server, answered.then_some(request.ask.class), dead);
         }
-        (request.held_since, request.retry_at, request.asked) = (now, now, None);
+        request.held_since = if never { request.held_since } else { now }; // runs on if nobody was reached
+        (request.retry_at, request.asked) = (now, None);
         match status {
             Status::Read => {
                 // What was really left to read: after a flush the table is wrong, and the model must not be.
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -16,6 +16,7 @@
 use crate::settings::Bounds;
 use attempt::{End, Passing, Trial};
 use connections::Dialer;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::Http;
 use sessions::Sessions;
 use slog::{error, warn, Logger};
@@ -27,8 +28,10 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
-/// A lease call is tried so long at one node before the next one ...
+/// A lease call waits so long for one node's answer ...
 const LEASE_CALL: Duration = Duration::from_millis(150);
+/// ... and the next node is called after this, ...
+const LEASE_STEP: Duration = Duration::from_millis(50);
 /// ... and so long in all; nodes free by themselves what is left then.
 const LEASE_TRIES: Duration = Duration::from_secs(5);
 /// Between two rounds of lease calls.
@@ -57,20 +60,23 @@
         }
     }
 
-    /// Lets go of what is held for a request: any node passes it on, and one that can't be reached may have
-    /// died with the state, so the next one is tried.
+    async fn release_at(&self, name: &str, address: &Arc<str>) -> bool {
+        if self.speak_sessions.contains(&**address) {
+            self.sessions.release(name, address).await
+        } else {
+            self.http.release(name, address).await
+        }
+    }
+
+    /// Lets go of what is held for a request: any node passes it on. One that can't be reached may have died with the
+    /// state, and the time in which it must be let go runs on: the next node is called before one is given up.
     async fn release(&self, name: &str, addresses: &[Arc<str>]) {
         let until = Instant::now() + LEASE_TRIES;
+        let mut calls = FuturesUnordered::new();
         while Instant::now() < until && !addresses.is_empty() {
             for address in addresses {
-                let released = timeout(LEASE_CALL, async {
-                    if self.speak_sessions.contains(&**address) {
-                        self.sessions.release(name, address).await
-                    } else {
-                        self.http.release(name, address).await
-                    }
-                });
-                if released.await == Ok(true) {
+                calls.push(timeout(LEASE_CALL, self.release_at(name, address)));
+                if let Ok(Some(Ok(true))) = timeout(LEASE_STEP, calls.next()).await {
                     return;
                 }
             }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -166,6 +166,25 @@
     assert_eq!(bench.releases(), 1);
 }
 
+/// While connections fail to come up the time runs on: a send that reached nobody has not taken the state.
+#[test]
+fn a_send_that_reached_nobody_gives_a_state_no_new_time() {
+    // A state that the module knows of, and one that only the core does: a read that broke may have ended well.
+    for (read, within) in [(Status::Read, 900), (Status::Reset, 750)] {
+        let mut bench = Bench::new(10);
+        let _answered = bench.ask(1, 0, "a");
+        bench.ended(1, 0, read);
+        assert_eq!(bench.sends(), 2);
+        bench.pass(700 * MS);
+        let members =
+            vec![member("r", Role::Reader, State::Draining), member("ww", Role::Writer, State::Draining)];
+        bench.hear(Event::Members { complete: false, members });
+        bench.ended(1, 1, Status::ConnectFailed);
+        bench.pass((within - 700) * MS);
+        assert_eq!(bench.releases(), 1, "{read:?}");
+    }
+}
+
 #[test]
 fn a_state_is_not_let_go_while_a_writer_waits_for_it() {
     let mut bench = Bench::new(10);
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -133,6 +133,22 @@
     }
 }
 
+/// The time in which a state must be let go runs on while a node does not answer: others are called before it is given up.
+#[tokio::test(start_paused = true)]
+async fn a_lease_call_does_not_wait_for_nodes_that_are_silent() {
+    let fleet = Fleet::start(false).await;
+    let (commands, mut inbox) = node_side(&[]);
+    let silent =
+        [TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap()];
+    let silent = silent.each_ref().map(|it| it.local_addr().unwrap().to_string());
+    let addresses = silent.iter().chain(&fleet.addresses[1..2]).map(|it| it.as_str().into()).collect();
+    let begun = tokio::time::Instant::now();
+    commands.send(Command::Release { id: 2, name: "x".into(), addresses }).await.unwrap();
+    assert!(matches!(next(&mut inbox).await, Event::Released(2)));
+    assert_eq!(fleet.ledger.lock().unwrap().released, 1);
+    assert!(begun.elapsed() < Duration::from_millis(300), "{:?}", begun.elapsed());
+}
+
 /// A connection that breaks after the request was written may have run: a reset, and it is sent only once.
 #[tokio::test]
 async fn a_connection_that_breaks_after_the_request_is_a_reset_and_is_not_sent_again() {
