No send for a held state begins when that state is due

Followed request: read at 19.800 s, sent to writer 14 at 20.547, 20.799, 21.051 and 21.303, each without a connection after 252 ms, refused at 21.555; the rule broke at 21.081. After an outcome the module placed the request anew with no look at how long its state was held: that was checked in look_at alone (logic.rs). Now place checks it, for both.

A test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -607,7 +607,9 @@
         if request.answered || request.begun || request.attempts.iter().any(waits) {
             return;
         }
-        if request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
+        let held_until = request.held_since + (self.settings.release_within as f64 * HELD_PART) as Time;
+        let held_too_long = request.state_at.is_some() && self.now >= held_until;
+        if held_too_long || request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
             return self.end(request);
         }
         request.homes = self.homes(&request.ask);
@@ -958,9 +960,7 @@
     }
 
     fn look_at(&mut self, request: &mut Request) {
-        let held_until = request.held_since + (self.settings.release_within as f64 * HELD_PART) as Time;
-        let kept_too_long = request.state_at.is_some() && self.now >= held_until;
-        if self.now >= request.end_at || (kept_too_long && !request.out()) {
+        if self.now >= request.end_at {
             return self.end(request);
         }
         let late = request.attempts.iter().position(|attempt| self.check_at(attempt) <= self.now);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -41,6 +41,23 @@
     assert_eq!(sent_to(&late, 1), None);
 }
 
+/// Each send to a writer that can't be reached takes the time in which a connection may come up: none begins when the
+/// state is due.
+#[test]
+fn a_writer_that_can_not_be_reached_is_not_tried_beyond_the_time_of_a_state() {
+    let mut desk = desk(Effect::Safe, pair());
+    desk.ask(ask(1, 1));
+    let mut actions = desk.outcome(1, 0, 1, Status::Read);
+    let read_at = desk.now;
+    for attempt in 1..4 {
+        assert_eq!(sent_to(&actions, 1), Some(2), "after {} us", desk.now - read_at);
+        desk.pass(150 * MS);
+        actions = desk.outcome(1, attempt, 2, Status::ConnectFailed);
+    }
+    assert_eq!((sent_to(&actions, 1), finals(&actions, 1)), (None, 1));
+    assert!(actions.contains(&Action::Release { id: 1 }), "{actions:?}");
+}
+
 #[test]
 fn expires_in_counts_and_not_the_class() {
     let mut desk = desk(Effect::Safe, pair());
