--- a/src/logic.rs
+++ b/src/logic.rs
@@ -696,8 +696,8 @@
         open.into_iter().map(|it| self.reader_choice(request, it, home(it), after(it))).collect()
     }
 
-    /// Tokens that readers are presumed to keep of a prompt: all routers rank them alike by a hash of the text,
-    /// so that it comes back to the same, and a session to one of these. Small zones have more homes elsewhere.
+    /// Tokens that readers are presumed to keep of a prompt: all routers rank them alike by a hash of a text,
+    /// so that it comes back to the same, and its sessions to one of these. Small zones have more elsewhere.
     fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
         let rank = |text, it: &Server| {
             let even = (mix(text, it.entry.key) >> 12) as f64 + 0.5;
