--- a/tests/core.rs
+++ b/tests/core.rs
@@ -629,6 +629,8 @@
     third.hear(Event::Peer { from: 3, message: message.clone() });
     third.hear(Event::Peer { from: 3, message });
     assert_eq!(told(&mut third, 40.0), None, "all know that by now");
+    // Requests pay for what is told.
+    (200..210).for_each(|id| drop(one.ask(id, 0, &format!("later-{id}"))));
     one.hear(Event::Probed { server: 0, ok: true, load: load(2.0) });
     assert!(one.core.to_tell(one.now).is_some(), "and that it has changed is news again");
 }
