Ask a silent agent on this machine in short turns, so that it is heard when it is back

Where lists are pushed a call is silent after 200 ms, the next has no wait, and comes 20 ms later; who has not answered 100 calls is thought slow and given time. Only the first silence of a row is a warning.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -6,7 +6,7 @@
 use crate::backoff::Backoff;
 use crate::dispatch::{Door, Event, Member};
 use crate::settings::{MemberLine, MemberList, Site};
-use crate::watch::{Watch, RETRY};
+use crate::watch::Watch;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
@@ -115,7 +115,7 @@
     address: &str, site: &mut Site, known: Option<u64>, backoff: &mut Backoff, door: &Door, log: &Logger,
 ) {
     let agent = agent();
-    let mut watch = Watch::from(known);
+    let mut watch = Watch::from(known, !site.settings.must_watch);
     loop {
         let next = watch.call();
         let called = timeout(next.patience, call(&agent, address, &next.target)).await;
@@ -130,11 +130,17 @@
                 }
             }
             Err(failure) => {
+                let heard_before = watch.is_heard();
                 let (error, pause) = match failure {
                     Failure::Answered(error) => (error, backoff.pause()),
-                    Failure::Silent(error) => (error, RETRY),
+                    Failure::Silent(error) => (error, watch.unanswered()),
                 };
-                warn!(log, "discovery failed"; "error" => error, "again_in_ms" => pause.as_millis() as u64);
+                let again_in_ms = pause.as_millis() as u64;
+                if heard_before {
+                    warn!(log, "discovery failed"; "error" => error, "again_in_ms" => again_in_ms);
+                } else {
+                    debug!(log, "discovery is still silent"; "error" => error, "again_in_ms" => again_in_ms);
+                }
                 door.tell(Event::ListFailed).await;
                 sleep(pause).await;
             }
