Let go of what a broken read may have left between sends that reach nobody

Found by reading: a read that was reset may leave a state that only the core knows of; the module sends the next read at once, and where that finds nobody for 250 ms the next again, in the same step, so that there is no moment without an attempt in which it is let go of, while its time runs on (core.rs ended, table.rs lets_go). Now the core looks between an outcome and the module's answer to it. A test fails without it.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -323,6 +323,11 @@
             // By its good end, or by its break; its client may have left before.
             notes.over(now, id, if status == Status::Ok { Noted::Served } else { Noted::Broken });
         }
+        // While sends reach nobody, the module may send again at once, each time: what a broken read may have left is let
+        // go of in between.
+        if self.requests.get(id).is_some_and(Held::is_open) {
+            self.settle(now, id);
+        }
         // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
         if status == Status::Rejected {
             self.close(now, id, Answer::Rejected);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -185,6 +185,20 @@
     }
 }
 
+/// A read broke, and the reads that follow it at once find nobody: there is no moment without an attempt.
+#[test]
+fn a_state_that_may_be_left_is_let_go_between_sends_that_reach_nobody() {
+    let mut bench = Bench::new(10);
+    let _answered = bench.ask(1, 0, "a");
+    bench.ended(1, 0, Status::Reset);
+    for attempt in 1..3 {
+        assert_eq!((bench.sends(), bench.releases()), (attempt as usize + 1, 0));
+        bench.pass(250 * MS);
+        bench.ended(1, attempt, Status::ConnectFailed);
+    }
+    assert_eq!((bench.sends(), bench.releases()), (4, 1));
+}
+
 #[test]
 fn a_state_is_not_let_go_while_a_writer_waits_for_it() {
     let mut bench = Bench::new(10);
