--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,10 +30,8 @@
 const STALE: f64 = 1.5; // seconds in which a report loses half of its weight against own counts
 const EVENNESS: f64 = 0.15; // weight of the fleet's usual load against own counts that see all of it
 const HOME_MATCH: f64 = 0.85; // part of a prompt that its session's home is presumed to keep at the start
-const HOMES: f64 = 1.5; // readers that are presumed to keep a shared text: one, and ...
-const HOMES_SPREAD: f64 = 2.0; // ... this many times its part of other traffic, of all readers, rounded ...
-const HOMES_LEAST: usize = 2; // ... and where they are fewer than this, others that take their place, ...
-const SPARE_HOME: f64 = 0.3; // ... which are presumed to keep this part of it
+const HOMES_LEAST: f64 = 2.0; // readers that are homes of a shared text ...
+const HOMES_SPREAD: f64 = 2.0; // ... and this many times its part of the traffic, of all readers
 const FEW: f64 = 10.0; // routers whose own part of a cold server's ration is whole sends
 const COLD_HOME: f64 = 1.5; // a reader's rank falls with this power of the part of it that is warm
 const RECENT: usize = 30; // requests from which that part is told
@@ -381,12 +379,14 @@
         let Some(mut request) = self.requests.remove(&id) else { return };
         self.due.remove(&(request.due, id));
         act(self, &mut request);
-        if !request.answered || request.out() {
+        let over = request.answered && !request.out();
+        if over && request.may_hold {
+            self.act(&mut request, Action::Release { id });
+        }
+        if !over {
             request.due = self.due_at(&request).max(self.now + 1);
             self.due.insert((request.due, id));
             self.requests.insert(id, request);
-        } else if request.may_hold {
-            self.act(&mut request, Action::Release { id });
         }
     }
 
@@ -419,17 +419,19 @@
             [load.in_flight, load.to_read, load.memory].map(|told| told.filter(|x| (0.0..1e6).contains(x)));
         (server.told_at, server.own_then) = (Some(self.now), server.own);
         let usual = &mut self.usual_load[usize::from(server.entry.role == Role::Reader)];
-        usual.iter_mut().zip(server.told).for_each(|(usual, told)| blend(usual, told.unwrap_or(*usual)));
+        let told = usual.iter_mut().zip(server.told);
+        told.for_each(|(usual, told)| blend(usual, told.unwrap_or(*usual)));
     }
 
     /// Too many failures, one in a trial, or one of a dead server set it aside: for a class, or else for all.
     fn blame(&mut self, id: ServerId, class: Option<usize>, at_once: bool) {
+        let (now, pause) = (self.now, self.pause);
         for class in class.map_or(0..self.settings.classes.len(), |class| class..class + 1) {
             let Some(server) = self.servers.get_mut(&id) else { return };
             let health = server.health_mut(class);
             blend(&mut health.failing, 1.0);
-            if (at_once || health.failing > SICK || health.pauses > 0) && self.now >= health.paused_until {
-                health.paused_until = self.now + (self.pause << health.pauses.min(PAUSE_DOUBLINGS));
+            if (at_once || health.failing > SICK || health.pauses > 0) && now >= health.paused_until {
+                health.paused_until = now + (pause << health.pauses.min(PAUSE_DOUBLINGS));
                 health.pauses += 1;
             }
         }
@@ -666,8 +668,8 @@
     fn refuses(&mut self, request: &Request, choices: &[Choice]) -> bool {
         let chance = choices.iter().map(|choice| choice.chance).fold(0.0, f64::max);
         let reading = self.models[READ].weights[TOKENS].max(0.0);
-        let wait =
-            choices.iter().map(|it| it.predicted - reading * it.inputs[TOKENS]).fold(f64::MAX, f64::min);
+        let waits = choices.iter().map(|choice| choice.predicted - reading * choice.inputs[TOKENS]);
+        let wait = waits.fold(f64::MAX, f64::min);
         if self.models[WRITE].samples < ENOUGH || !request.attempts.is_empty() || choices.is_empty() {
             return false;
         }
@@ -696,8 +698,9 @@
         open.into_iter().map(|it| self.reader_choice(request, it, home(it), after(it))).collect()
     }
 
-    /// Tokens that readers are presumed to keep of a prompt: all routers rank them alike by a hash of a text,
-    /// so that it comes back to the same, and its sessions to one of these. Small zones have more elsewhere.
+    /// Tokens that readers are presumed to keep of a prompt, where the table can't know: all routers rank the
+    /// readers alike by a hash of the text, so that it comes back to the same, and a session to one of them.
+    /// A cold one is home to what it can take. A zone with too few readers has further homes in the others.
     fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
         let rank = |text, it: &Server| {
             let even = (mix(text, it.entry.key) >> 12) as f64 + 0.5;
@@ -706,24 +709,20 @@
         let reads = |it: &&Server| it.entry.state == State::Ready && it.entry.role != Role::Writer;
         let readers = self.servers.values().filter(reads);
         let (mut homes, mut far) = readers.partition::<Vec<_>, _>(|it| it.entry.zone == self.settings.zone);
-        far.retain(|_| homes.len() < HOMES_LEAST); // else none is wanted, and ranking them is work
-        let others = |text| self.recent.iter().filter(|it| **it == text).count().saturating_sub(1) as f64;
-        let spread = HOMES_SPREAD / RECENT as f64 * homes.len() as f64;
-        let likely = ask.prefix.map_or(homes.len(), |text| (HOMES + spread * others(text)) as usize);
+        far.retain(|_| homes.len() < HOMES_LEAST as usize); // else none is wanted, and ranking them is work
         if let Some(prefix) = ask.prefix {
             let sort = |it: &mut Vec<&Server>| it.sort_by(|a, b| rank(prefix, b).total_cmp(&rank(prefix, a)));
             [&mut homes, &mut far].into_iter().for_each(sort);
-            homes.truncate(HOMES_LEAST.max(likely));
-            far.truncate(HOMES_LEAST.saturating_sub(homes.len()));
+            let share = self.recent.iter().filter(|it| **it == prefix).count() as f64 / RECENT as f64;
+            homes.truncate((HOMES_LEAST + HOMES_SPREAD * share * homes.len() as f64) as usize);
+            far.truncate((HOMES_LEAST as usize).saturating_sub(homes.len()));
         }
-        let (likely, spare) = homes.split_at(homes.len().min(likely));
-        let own = if likely.is_empty() { &far } else { likely };
+        let own = if homes.is_empty() { &far } else { &homes };
         let session = |text| own.iter().max_by(|a, b| rank(text, a).total_cmp(&rank(text, b)));
         let whole = (self.home_match[ask.class] * ask.prompt).max(ask.prefix_tokens);
         let first = ask.session.and_then(session).map(|it| (it.entry.server, whole));
-        let shared = likely.iter().chain(&far).map(|it| (it.entry.server, ask.prefix_tokens));
-        let spare = spare.iter().map(|it| (it.entry.server, SPARE_HOME * ask.prefix_tokens));
-        shared.chain(spare).chain(first).filter(|(_, tokens)| *tokens > 0.0).collect()
+        let shared = homes.iter().chain(&far).map(|it| (it.entry.server, ask.prefix_tokens));
+        shared.chain(first).filter(|(_, tokens)| *tokens > 0.0).collect()
     }
 
     fn reader_choice(&self, request: &Request, server: &Server, home: f64, after: (f64, f64)) -> Choice {
@@ -949,7 +948,8 @@
             return Time::MAX;
         }
         let retry_at = if request.out() { Time::MAX } else { request.retry_at };
-        request.attempts.iter().map(|it| self.check_at(it)).fold(request.end_at.min(retry_at), Time::min)
+        let checks = request.attempts.iter().map(|attempt| self.check_at(attempt));
+        checks.fold(request.end_at.min(retry_at), Time::min)
     }
 
     fn check_at(&self, attempt: &Attempt) -> Time {
