Who is announced as leaving leaves, whatever else its line says

discovery::member dropped a line with an unreadable address or kind as a whole, also one that said Terminating or Gone, and a field of another type (or none) made the whole list unreadable, for MemberLine was derived: the server stayed in use. Lines are read field by field now; where only id and phase make sense, the rest stays as it was told before (Member::partial, Nodes::complement). Two tests, both failing before: parsers (a line of one that leaves ...) and core (nothing is sent to one of which only its leaving could be read).

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -22,29 +22,40 @@
 /// A list is not read beyond this.
 const LONGEST: usize = 4 * 1024 * 1024;
 
-/// A member's line in the core's terms; an error where a word of it is not known.
+/// A member's line in the core's terms; an error where it makes no sense. Who is announced as leaving leaves, whatever
+/// else its line says: where the rest can't be read, that stays as it was told before.
 pub fn member(site: &mut Site, line: &MemberLine) -> Result<Member, String> {
-    let state = match line.phase.as_str() {
-        "Ready" => State::Ready,
-        "Terminating" => State::Draining,
-        "Gone" => State::Gone,
+    let id = line.id.as_deref().filter(|id| !id.is_empty()).ok_or("no id")?;
+    let state = match line.phase.as_deref() {
+        Some("Ready") => State::Ready,
+        Some("Terminating") => State::Draining,
+        Some("Gone") => State::Gone,
         other => return Err(format!("unknown phase {other:?}")),
     };
-    line.host_port.parse::<std::net::SocketAddr>().map_err(|_| "an address that is none")?;
     let zone = site.zone(line.locality.as_deref());
+    let mut whole = || {
+        let address = line.host_port.as_deref().unwrap_or_default();
+        address.parse::<std::net::SocketAddr>().map_err(|_| format!("no address: {address:?}"))?;
+        Ok((address, site.entry(0, id, line.flavor.as_deref())?))
+    };
+    let (address, entry, partial) = match whole() {
+        Ok((address, entry)) => (address, entry, false),
+        Err(_) if state != State::Ready => ("", Entry::default(), true),
+        Err(error) => return Err(error),
+    };
     let started = line.up_since_ms.filter(|at| *at > 0.0).map(|ms| (ms * 1000.0) as u64);
-    let entry = site.entry(0, &line.id, line.flavor.as_deref())?;
     let entry = Entry { zone, cell: line.cell.unwrap_or(u32::MAX), state, started, ..entry };
-    Ok(Member { name: line.id.as_str().into(), address: line.host_port.as_str().into(), entry })
+    Ok(Member { name: id.into(), address: address.into(), entry, partial })
 }
 
 /// A list in the core's terms. A line that makes no sense is logged and left out.
 pub fn members(site: &mut Site, list: &MemberList, log: &Logger) -> Event {
     let mut members = Vec::new();
     for line in &list.members {
-        match member(site, line) {
+        let line = MemberLine::from(line);
+        match member(site, &line) {
             Ok(member) => members.push(member),
-            Err(error) => warn!(log, "a member makes no sense"; "member" => &line.id, "error" => error),
+            Err(error) => warn!(log, "a member makes no sense"; "member" => line.id, "error" => error),
         }
     }
     Event::Members { complete: list.complete, members }
--- a/src/dispatch/messages.rs
+++ b/src/dispatch/messages.rs
@@ -55,6 +55,9 @@
     pub address: Arc<str>,
     /// What the module is told; the core sets its number.
     pub entry: Entry,
+    /// Only its name and its state could be read: the rest is as it was told before, and where nothing was, it is no
+    /// member.
+    pub partial: bool,
 }
 
 /// What the core hears.
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -90,11 +90,25 @@
         addresses
     }
 
+    /// Gives a member of which only the state could be read the rest, as it was told before; false where nothing was.
+    fn complement(&self, member: &mut Member) -> bool {
+        let Some(node) = self.numbers.get(&member.name).and_then(|it| self.nodes.get(it)) else {
+            return false;
+        };
+        member.address = node.address.clone();
+        member.entry = Entry { state: member.entry.state, ..node.listed.clone() };
+        true
+    }
+
     /// What the list says now: all of it, or what has changed.
     pub fn list(&mut self, complete: bool, members: Vec<Member>, log: &Logger) -> News {
         let mut news = News::default();
         let mut named = HashSet::new();
-        for Member { name, address, mut entry } in members {
+        for mut member in members {
+            if member.partial && !self.complement(&mut member) {
+                continue;
+            }
+            let Member { name, address, mut entry, .. } = member;
             let server = *self.numbers.entry(name.clone()).or_insert_with(|| {
                 self.next_number += 1;
                 self.next_number - 1
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -354,13 +354,14 @@
     }
 }
 
-/// One line of a list of members, as discovery writes it.
-#[derive(Deserialize, Clone)]
+/// One line of a list of members, as discovery writes it. Each field is read by itself: what makes no sense is absent,
+/// and takes no other field with it.
+#[derive(Clone, Debug, Default)]
 pub struct MemberLine {
     /// The same at every dispatcher.
-    pub id: String,
+    pub id: Option<String>,
     /// Where it listens.
-    pub host_port: String,
+    pub host_port: Option<String>,
     /// Its zone.
     pub locality: Option<String>,
     /// Its kind.
@@ -368,11 +369,34 @@
     /// Its cell.
     pub cell: Option<u32>,
     /// Whether it takes work.
-    pub phase: String,
+    pub phase: Option<String>,
     /// Its last start, in Unix milliseconds; 0: long ago.
     pub up_since_ms: Option<f64>,
 }
 
+impl From<&Value> for MemberLine {
+    fn from(line: &Value) -> Self {
+        let Value::Object(line) = line else { return MemberLine::default() };
+        let text = |field: &str| match line.get(field) {
+            Some(Value::String(text)) => Some(text.clone()),
+            _ => None,
+        };
+        let number = |field: &str| match line.get(field) {
+            Some(Value::Number(number)) => Some(strict::number(number)),
+            _ => None,
+        };
+        MemberLine {
+            id: text("id"),
+            host_port: text("host_port"),
+            locality: text("locality"),
+            flavor: text("flavor"),
+            cell: number("cell").filter(|cell| (0.0..u32::MAX.into()).contains(cell)).map(|cell| cell as u32),
+            phase: text("phase"),
+            up_since_ms: number("up_since_ms"),
+        }
+    }
+}
+
 /// A list of members, whole or what changed.
 #[derive(Deserialize, Clone)]
 pub struct MemberList {
@@ -380,8 +404,8 @@
     pub revision: u64,
     /// Members that are absent are gone.
     pub complete: bool,
-    /// Its lines.
-    pub members: Vec<MemberLine>,
+    /// Its lines, each as it comes: see [`MemberLine`].
+    pub members: Vec<Value>,
 }
 
 /// What the dispatcher may use.
--- a/src/strict.rs
+++ b/src/strict.rs
@@ -21,7 +21,8 @@
     }
 }
 
-fn number(number: &Number) -> f64 {
+/// A JSON number's value.
+pub fn number(number: &Number) -> f64 {
     match number {
         Number::U64(number) => *number as f64,
         Number::I64(number) => *number as f64,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -26,7 +26,8 @@
 
 fn member(name: &str, role: Role, state: State) -> Member {
     let entry = Entry { key: name.len() as u64, role, state, memory: 200_000.0, ..Entry::default() };
-    Member { name: name.into(), address: format!("127.0.0.1:{}", 7000 + name.len()).into(), entry }
+    let address = format!("127.0.0.1:{}", 7000 + name.len()).into();
+    Member { name: name.into(), address, entry, partial: false }
 }
 
 fn site(profile: &str) -> Site {
@@ -537,6 +538,27 @@
     assert_eq!(bench.core.open(), 1);
 }
 
+/// A line of one that leaves may tell nothing but that: what was told before holds for the rest, and an unknown one
+/// is none of the fleet.
+#[test]
+fn nothing_is_sent_to_one_of_which_only_its_leaving_could_be_read() {
+    for state in [State::Draining, State::Gone] {
+        let mut bench = Bench::new(10);
+        let partial = |name: &str| {
+            let entry = Entry { state, ..Entry::default() };
+            Member { name: name.into(), address: "".into(), entry, partial: true }
+        };
+        bench.hear(Event::Members { complete: false, members: vec![partial("r"), partial("never")] });
+        assert_eq!(bench.bars().last(), Some(&("127.0.0.1:7002", false)), "the writer's, as ever");
+        assert!(bench.bars().contains(&("127.0.0.1:7001", true)), "{state:?}");
+        assert_eq!(bench.core.readiness(), Readiness::Starting, "{state:?}");
+        let _waits = bench.ask(1, 0, "a");
+        bench.pass(200 * MS);
+        assert_eq!(bench.sends(), 0, "{state:?}");
+        assert!(bench.bars().iter().all(|(address, _)| !address.is_empty()));
+    }
+}
+
 /// A recording says of each request how it came, where it went, and how it ended, once; and names no session.
 #[test]
 fn a_recording_tells_each_request_once_and_no_session() {
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -3,7 +3,7 @@
 
 mod stand;
 
-use quartzhall::api::Ask;
+use quartzhall::api::{Ask, State};
 use quartzhall::fronts::{names, platform, websocket};
 use quartzhall::nodes::{attempt, events, http, sessions};
 use quartzhall::settings::{Config, Profile, Sessions, Site};
@@ -105,6 +105,39 @@
     assert_eq!(members.len(), 1);
 }
 
+/// Who is announced as leaving leaves, whatever else its line says: such a line was left out as a whole, and where a
+/// field was of another type, the list with it.
+#[test]
+fn a_line_of_one_that_leaves_counts_whatever_else_it_says() {
+    let rest = [
+        r#""host_port":"nowhere""#,
+        r#""host_port":7"#,
+        r#""host_port":null"#,
+        r#""size":1.0"#,
+        r#""host_port":"127.0.0.1:2","flavor":"of another kind""#,
+        r#""host_port":"127.0.0.1:2","flavor":[1]"#,
+        r#""host_port":"127.0.0.1:2","flavor":"decode","cell":-1"#,
+        r#""host_port":"127.0.0.1:2","flavor":"decode","up_since_ms":"never""#,
+    ];
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let whole = r#"{"id":"s-1","host_port":"127.0.0.1:1","flavor":"prefill","phase":"Ready"}"#;
+    for (phase, state) in [("Terminating", State::Draining), ("Gone", State::Gone)] {
+        for rest in rest {
+            let odd = format!(r#"{{"id":"s-2","phase":"{phase}",{rest}}}"#);
+            let text = format!(
+                r#"{{"revision":42,"complete":false,"members":[{odd},"what?",{{"phase":"Gone"}},{whole}]}}"#
+            );
+            let list = discovery::parse(text.as_bytes()).unwrap();
+            let event = discovery::members(&mut site(), &list, &log);
+            let quartzhall::dispatch::Event::Members { complete: false, members } = event else {
+                panic!("{event:?}")
+            };
+            let told: Vec<_> = members.iter().map(|it| (&*it.name, it.entry.state)).collect();
+            assert_eq!(told, [("s-2", state), ("s-1", State::Ready)], "{odd}");
+        }
+    }
+}
+
 /// However a stream is cut, it comes out unchanged and event by event; what is no event spoils it at the latest
 /// where the event would end, and garbage never comes out as one.
 #[test]
