--- a/examples/recording_cost.rs
+++ b/examples/recording_cost.rs
@@ -36,7 +36,7 @@
         let role = if number < 5 { Role::Reader } else { Role::Writer };
         let entry = Entry { key: number as u64, role, state: State::Ready, memory: 2e5, ..Entry::default() };
         let (name, address) = (format!("n{number}").into(), format!("127.0.0.1:{}", 7000 + number).into());
-        Member { name, address, entry }
+        Member { name, address, entry, partial: false }
     };
     core.hear(now, Event::Members { complete: true, members: (0..10).map(member).collect() });
     let began = Instant::now();
