--- /dev/null
+++ b/tests/unit/backoff.rs
@@ -0,0 +1,45 @@
+use super::*;
+use std::collections::{BinaryHeap, VecDeque};
+
+/// A service that takes one call after another, 50 ms each, and turns those away that have waited for 2 s when their
+/// turn comes; the work on them was done for nothing. Tells how many of the callers were served by then.
+fn served(callers: u32, until: Duration, mut pause: impl FnMut(u32, &mut Backoff) -> Duration) -> usize {
+    let (work, patience) = (Duration::from_millis(50), Duration::from_secs(2));
+    let mut all: Vec<Backoff> = (0..callers).map(|it| Backoff::new(callers, it.into())).collect();
+    let first = |(it, backoff): (usize, &mut Backoff)| std::cmp::Reverse((backoff.first(), it));
+    let mut calls: BinaryHeap<_> = all.iter_mut().enumerate().map(first).collect();
+    let (mut free, mut served) = (Duration::ZERO, VecDeque::new());
+    while let Some(std::cmp::Reverse((at, it))) = calls.pop().filter(|it| it.0 .0 < until) {
+        free = free.max(at) + work;
+        if free <= at + patience {
+            served.push_back(it);
+        } else {
+            calls.push(std::cmp::Reverse((at + patience + pause(it as u32, &mut all[it]), it)));
+        }
+    }
+    served.len()
+}
+
+#[test]
+fn a_hundred_callers_that_start_at_once_are_all_served() {
+    assert_eq!(served(100, Duration::from_secs(8), |_, backoff| backoff.pause()), 100);
+}
+
+#[test]
+fn three_hundred_callers_are_served_though_the_first_calls_come_too_fast() {
+    assert_eq!(served(300, Duration::from_secs(40), |_, backoff| backoff.pause()), 300);
+    // What it guards against: with short pauses the queue stays as long as the service's patience.
+    let short = served(300, Duration::from_secs(40), |_, _| Duration::from_millis(100));
+    assert!(short < 200, "{short} of 300 served");
+}
+
+#[test]
+fn a_single_caller_calls_at_once_and_again_soon() {
+    let mut alone = Backoff::new(1, 7);
+    assert_eq!(alone.first(), Duration::ZERO);
+    assert!(alone.pause() <= Duration::from_millis(300));
+    let last = (0..40).map(|_| alone.pause()).last();
+    assert!(last >= Some(Duration::from_secs(1)) && last <= Some(Duration::from_secs(3)));
+    alone.succeeded();
+    assert!(alone.pause() <= Duration::from_millis(300));
+}
--- /dev/null
+++ b/tests/unit/bans.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+fn id(name: &str) -> Arc<str> {
+    name.into()
+}
+
+#[test]
+fn a_call_out_holds_until_one_call_back() {
+    let mut bans = Bans::default();
+    assert_eq!(bans.call(1, &id("a"), true, true), Ok(true));
+    assert_eq!(bans.call(2, &id("a"), true, false), Ok(false));
+    assert!(bans.is_banned("a"));
+    assert_eq!(bans.call(3, &id("a"), false, false), Ok(true));
+    assert_eq!((bans.is_banned("a"), bans.ended("a")), (false, Some(3)));
+    assert_eq!(bans.call(4, &id("a"), false, true), Ok(false));
+}
+
+#[test]
+fn only_an_id_that_was_listed_is_known_and_what_is_remembered_is_bounded() {
+    let mut bans = Bans::default();
+    assert_eq!(bans.call(1, &id("never"), true, false), Err(Refusal::Unknown));
+    assert_eq!(bans.call(1, &id("never"), false, false), Err(Refusal::Unknown));
+    for number in 0..2 * MOST_LEFT {
+        bans.has_left(id(&format!("r{number}")));
+        bans.has_left(id(&format!("r{number}")));
+    }
+    assert_eq!((bans.left.len(), bans.left_set.len()), (MOST_LEFT, MOST_LEFT));
+    assert_eq!(bans.call(1, &id("r0"), true, false), Err(Refusal::Unknown));
+    assert_eq!(bans.call(1, &id(&format!("r{}", 2 * MOST_LEFT - 1)), true, false), Ok(true));
+    for number in 1..MOST_BANS {
+        assert_eq!(bans.call(2, &id(&format!("b{number}")), true, true), Ok(true));
+    }
+    assert_eq!(bans.call(3, &id("more"), true, true), Err(Refusal::TooMany));
+    assert_eq!(bans.call(ENDED_KEPT * 9, &id("b1"), false, false), Ok(true), "no ban is ever forgotten");
+}
+
+#[test]
+fn ends_are_forgotten_in_time() {
+    let mut bans = Bans::default();
+    for number in 0..100 {
+        let name = id(&format!("r{number}"));
+        let at = number * ENDED_KEPT;
+        bans.call(at, &name, true, true).unwrap();
+        bans.call(at + 1, &name, false, true).unwrap();
+    }
+    assert!(bans.marks().len() <= 2);
+}
+
+#[test]
+fn two_processes_agree_whatever_the_order() {
+    let (mut one, mut two) = (Bans::default(), Bans::default());
+    one.call(10, &id("a"), true, true).unwrap();
+    two.call(11, &id("b"), true, true).unwrap();
+    assert_eq!(two.merge(12, one.marks()), [id("a")]);
+    two.call(12, &id("a"), false, true).unwrap();
+    // The other one's file is older than what is known here: it lifts and sets nothing.
+    assert!(two.merge(13, &one.marks().clone()).is_empty());
+    assert_eq!(one.merge(13, two.marks()), [id("a"), id("b")]);
+    assert_eq!(one.marks(), two.marks());
+    assert!(!one.is_banned("a") && one.is_banned("b"));
+    // A call here after one over there is the newer one, even if this clock is behind.
+    one.call(5, &id("b"), false, true).unwrap();
+    assert_eq!(two.merge(14, one.marks()), [id("b")]);
+}
--- /dev/null
+++ b/tests/unit/handover_shares.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+fn notice(born: u64, phase: Phase, part: u32) -> Notice {
+    Notice { born, phase, part }
+}
+
+#[test]
+fn a_notice_is_read_as_it_was_written_and_nothing_else_is() {
+    for phase in [Phase::Starting, Phase::Serving, Phase::Leaving] {
+        let notice = notice(1_700_000_000_000_000, phase, 15);
+        assert_eq!(Notice::parse(&notice.line()), Some(notice));
+        assert_eq!(notice.line().len(), 35);
+        let line = notice.line();
+        for cut in 0..line.len() {
+            assert_eq!(Notice::parse(&line[..cut]), None);
+        }
+    }
+    for bad in
+        ["2 5 serving 03\n", "1 5 serving 17\n", "1 5 resting 03\n", "1 5 serving 03 04\n", "1 x serving 1\n"]
+    {
+        assert_eq!(Notice::parse(bad), None);
+    }
+}
+
+/// Three processes, one after another, each coming to its part at any moment: the whole is never exceeded.
+#[test]
+fn the_whole_is_never_exceeded() {
+    for seed in 0..500u64 {
+        let mut state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let mut draw = |below: u64| {
+            state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (state >> 33) % below
+        };
+        let mut alive = vec![notice(1, Phase::Serving, PARTS - START)];
+        let mut born = 1;
+        for _ in 0..200 {
+            match draw(12) {
+                0 if alive.len() < 3 && alive.iter().all(|it| it.phase != Phase::Starting) => {
+                    // A second one starts only when the first has come down, as a third one's does.
+                    let kept: u32 = alive.iter().map(|it| it.part).sum();
+                    if kept < PARTS {
+                        born += 1;
+                        alive.push(notice(born, Phase::Starting, START));
+                    }
+                }
+                1 if alive.len() > 1 => drop(alive.remove(0)),
+                2 => alive[0].phase = if alive.len() > 1 { Phase::Leaving } else { Phase::Serving },
+                _ => {
+                    let at = draw(alive.len() as u64) as usize;
+                    let own = alive.remove(at);
+                    let to = wanted(&own, &alive);
+                    alive.insert(at, Notice { part: to, ..own });
+                }
+            }
+            let kept: u32 = alive.iter().map(|it| it.part).sum();
+            assert!(kept <= PARTS, "seed {seed}: {alive:?}");
+        }
+    }
+}
+
+#[test]
+fn the_young_one_gets_half_beside_one_that_serves_and_more_beside_one_that_leaves() {
+    let own = notice(2, Phase::Starting, START);
+    assert_eq!(wanted(&own, &[notice(1, Phase::Serving, 15)]), 1);
+    assert_eq!(wanted(&notice(1, Phase::Serving, 15), &[own]), 7);
+    assert_eq!(wanted(&own, &[notice(1, Phase::Serving, 7)]), 9);
+    assert_eq!(wanted(&own, &[notice(1, Phase::Leaving, 4)]), 12);
+    assert_eq!(wanted(&own, &[]), 15);
+}
--- /dev/null
+++ b/tests/unit/hearsay.rs
@@ -0,0 +1,105 @@
+use super::*;
+use quickcheck::{Gen, QuickCheck};
+
+const START: Time = 1_700_000_000_000_000;
+
+fn load(in_flight: f64) -> Load {
+    Load { in_flight: Some(in_flight), memory: Some(0.5), ..Load::default() }
+}
+
+fn hearsay() -> Hearsay {
+    Hearsay::new(100, 0.0028)
+}
+
+fn told(of: &mut Hearsay, now: Time) -> Vec<u8> {
+    (0..20).for_each(|_| of.request());
+    of.message(now).unwrap_or_default()
+}
+
+#[test]
+fn a_surprise_is_told_and_what_is_as_believed_is_not() {
+    let (mut one, mut other) = (hearsay(), hearsay());
+    one.report(START, 7, 0xabcdef12, &load(1.0));
+    assert_eq!(told(&mut one, START), []);
+    one.report(START, 7, 0xabcdef12, &load(30.0));
+    let message = told(&mut one, START);
+    let words = other.hear(START + 30_000, 4, &message).unwrap();
+    assert_eq!(words, [Word { key: 0xcdef12, load: Some(load(30.0)) }]);
+    other.heard(START + 30_000, 3, &words[0]);
+    other.report(START + 40_000, 3, 0xabcdef12, &load(29.0));
+    assert_eq!(told(&mut other, START + 40_000), [], "all have heard that");
+    one.report(START + BELIEVED + 1, 7, 0xabcdef12, &load(30.0));
+    assert_ne!(told(&mut one, START + BELIEVED + 1), [], "what was told long ago is told again");
+}
+
+#[test]
+fn failures_come_first_where_not_all_can_be_afforded() {
+    let (mut one, mut other) = (hearsay(), hearsay());
+    (0..20).for_each(|server| one.report(START, server, u64::from(server), &load(50.0)));
+    one.failure(99);
+    (0..4).for_each(|_| one.request());
+    let words = other.hear(START, 0, &one.message(START).unwrap()).unwrap();
+    assert!(words.len() < 10 && words[0] == Word { key: 99, load: None }, "{words:?}");
+    (0..60).for_each(|server| one.failure(server));
+    let words = other.hear(START + 20_000, 0, &one.message(START + 20_000).unwrap()).unwrap();
+    assert!(words.len() < 10 && words.iter().all(|word| word.load.is_none()), "{words:?}");
+    one.failure(99);
+    assert_eq!(one.message(START), None, "nothing is left to spend");
+}
+
+#[test]
+fn telling_costs_no_more_than_its_part_of_the_requests() {
+    for (failures, least, most) in [(false, 0.001, 0.0021), (true, 0.005, 0.0101)] {
+        let mut one = hearsay();
+        let mut bytes = 0;
+        for request in 0..1000 {
+            one.request();
+            (0..50).for_each(|server| {
+                one.report(START + request, server, server.into(), &load((request % 2 * 80) as f64))
+            });
+            (0..50).filter(|_| failures).for_each(|server| one.failure(server));
+            bytes += one.message(START + request).map_or(0, |message| message.len());
+        }
+        let cost = bytes as f64 * 99.0 / 256.0 * 0.0028 / 1000.0;
+        assert!((least..=most).contains(&cost), "{cost} a request, failures {failures}");
+    }
+}
+
+#[test]
+fn what_is_spoilt_stale_or_repeated_is_dropped_and_counted() {
+    let (mut one, mut other) = (hearsay(), hearsay());
+    one.failure(5);
+    let message = told(&mut one, START);
+    assert_eq!(other.hear(START + 3_000_000, 1, &message), Err(Dropped::Stale));
+    assert_eq!(other.hear(START - 1_000_000, 1, &message), Err(Dropped::Stale));
+    assert!(other.hear(START + 1_000_000, 1, &message).is_ok());
+    assert_eq!(other.hear(START + 1_100_000, 1, &message), Err(Dropped::Repeated));
+    assert!(other.hear(START + 1_100_000, 2, &message).is_ok(), "another has the same time");
+    assert_eq!(other.hear(START, 100, &message), Err(Dropped::Spoilt), "an unknown sender");
+    for cut in 0..message.len() {
+        assert_eq!(other.hear(START, 3, &message[..cut]), Err(Dropped::Spoilt));
+    }
+    assert_eq!(other.dropped(), 4 + message.len() as u64);
+}
+
+#[test]
+fn garbage_is_dropped_or_read_within_bounds() {
+    fn holds(bytes: Vec<u8>, stamp: u16) -> bool {
+        let mut message = vec![MARK];
+        message.extend(stamp.to_be_bytes());
+        message.extend(&bytes);
+        let all = |message: &[u8]| {
+            hearsay().hear(START, 1, message).into_iter().flatten().all(|word| {
+                let load = word.load.unwrap_or_default();
+                word.key <= 0x00ff_ffff
+                    && load.in_flight.unwrap_or(0.0) <= MOST_IN_FLIGHT
+                    && load.memory.unwrap_or(0.0) <= 1.0
+            })
+        };
+        all(&message) && all(&bytes)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 7))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>, u16) -> bool);
+}
