A list is heard before requests, bars go up before sends, failed calls are repeated in time

Each was confirmed by a test that forces the order: - discovery::follow paused backoff.pause() after an answer that was no list: with 300 dispatchers 9 to 24 s, told is 6 s. An agent on this machine is called again within 20 ms, a distant discovery within 3.8 s, unless it turned the call away only after a wait (it has more calls than it can answer: the long pauses stay, the test of an overbooked discovery is unchanged). - Backoff::first took up to 8 s, now 3.8 s. A distant watch waits 1.8 s and is given up after 3.8 s: before 5.5 s, which left 0.3 s for the next call and its turn in discovery's queue; now 2 s. A silent agent is asked every 120 ms (220 before), also after 22 s, where each call was given 2.5 s. - Lists waited behind requests in the core's full queue (door.tell), bars behind hundreds of sends in the commands' queue: tell_first, and bars are sorted first in the core and at the nodes' side. - A node that moved left its old address unbarred, and one that drained as it moved was barred at the new address only. What is barred is now one set, reckoned from the nodes' table (Nodes::bars), in place of five places that barred and unbarred; the ban test's last bar was the writer's unbar, sent over and over, and is replaced by the whole set. The test of a watch's target named 3 s and now names each mode's wait.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -12,9 +12,11 @@
 /// The first pause of the only caller, and the longest on the mean.
 const ALONE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
 /// The first call of any caller comes within this ...
-const FIRST_MOST: Duration = Duration::from_secs(8);
-/// ... and no mean pause is longer than this: who has not asked for longer counts as told.
-const PAUSE_MOST: Duration = Duration::from_secs(16);
+const FIRST_MOST: Duration = crate::watch::PAUSE_MOST;
+/// ... and no mean pause is longer than this.
+const MEAN_MOST: Duration = Duration::from_secs(16);
+/// Pauses are drawn from this part of their mean up to that.
+const DRAWN: (f64, f64) = (0.5, 1.5);
 
 /// One of the callers.
 pub struct Backoff {
@@ -30,7 +32,7 @@
     }
 
     fn turn(&self) -> Duration {
-        EACH.saturating_mul(self.callers).min(PAUSE_MOST)
+        EACH.saturating_mul(self.callers).min(MEAN_MOST)
     }
 
     /// How long to wait before the first call, lest all that start at once call at once.
@@ -43,10 +45,15 @@
 
     /// A call has failed: how long to wait before the next. Doubled with each failure in turn.
     pub fn pause(&mut self) -> Duration {
-        let (least, most) = (ALONE.0.max(self.turn()), ALONE.1.max(self.turn() * 2).min(PAUSE_MOST));
+        self.pause_within(Duration::MAX)
+    }
+
+    /// The same, and no longer than this.
+    pub fn pause_within(&mut self, longest: Duration) -> Duration {
+        let (least, most) = (ALONE.0.max(self.turn()), ALONE.1.max(self.turn() * 2).min(MEAN_MOST));
         let mean = least.saturating_mul(1 << self.failures.min(16)).min(most);
         self.failures = self.failures.saturating_add(1);
-        mean.mul_f64(self.rng.gen_range(0.5..1.5))
+        mean.min(longest.div_f64(DRAWN.1)).mul_f64(self.rng.gen_range(DRAWN.0..DRAWN.1))
     }
 
     /// A call has succeeded: the next failure is a first one.
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -17,7 +17,7 @@
 use slog::{debug, info, warn, Logger};
 use std::time::Duration;
 use tokio::sync::watch::Receiver;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// A list is not read beyond this.
 const LONGEST: usize = 4 * 1024 * 1024;
@@ -129,6 +129,7 @@
     let mut watch = Watch::from(known, !site.settings.must_watch);
     loop {
         let next = watch.call();
+        let began = Instant::now();
         let called = timeout(next.patience, call(&agent, address, &next.target)).await;
         match called.unwrap_or_else(|_| Err(Failure::Silent("no answer in time".into()))) {
             Ok(list) => {
@@ -137,13 +138,16 @@
                     "members" => list.members.len());
                 let news = !list.members.is_empty() || list.complete;
                 if watch.answered(list.revision) || news {
-                    door.tell(members(site, &list, log)).await;
+                    // Who leaves is not to be sent what comes meanwhile.
+                    door.tell_first(members(site, &list, log)).await;
                 }
             }
             Err(failure) => {
                 let heard_before = watch.is_heard();
                 let (error, pause) = match failure {
-                    Failure::Answered(error) => (error, backoff.pause()),
+                    Failure::Answered(error) => {
+                        (error, backoff.pause_within(watch.longest_pause(began.elapsed())))
+                    }
                     Failure::Silent(error) => (error, watch.unanswered()),
                 };
                 let again_in_ms = pause.as_millis() as u64;
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -202,8 +202,9 @@
         timer.into_iter().chain(sweep).min()
     }
 
-    /// What is to be done, in order.
+    /// What is to be done, in order; bars come first, so that nothing goes to a node that has been told to leave.
     pub fn commands(&mut self) -> Vec<Command> {
+        Command::bars_first(&mut self.commands);
         std::mem::take(&mut self.commands)
     }
 
@@ -344,21 +345,18 @@
     fn members(&mut self, now: Time, complete: bool, members: Vec<Member>) {
         let news = self.nodes.list(complete, members, &self.log);
         self.note_nodes(now, &news);
-        self.commands.extend(news.commands);
-        let (gone, commands) = self.nodes.forget_gone(&self.requests.busy());
-        for server in gone {
+        for server in self.nodes.forget_gone(&self.requests.busy()) {
             self.hearsay.iter_mut().for_each(|hearsay| hearsay.keep(|it| it != server));
             self.note(|notes| notes.node_gone(server));
         }
-        self.commands.extend(commands);
-        self.commands.extend(self.nodes.unbar_ready());
+        self.commands.extend(self.nodes.bars());
         self.step(now, api::Event::Members { complete, entries: news.entries });
     }
 
     /// Operators have taken nodes out of use, or back.
     fn banned(&mut self, now: Time, news: News) {
         self.note_nodes(now, &news);
-        self.commands.extend(news.commands);
+        self.commands.extend(self.nodes.bars());
         if !news.entries.is_empty() {
             self.step(now, api::Event::Members { complete: false, entries: news.entries });
         }
--- a/src/dispatch/messages.rs
+++ b/src/dispatch/messages.rs
@@ -214,6 +214,14 @@
     },
 }
 
+impl Command {
+    /// Bars before all else, each sort in its order: what was commanded before a node was told to leave is not sent
+    /// there afterwards.
+    pub fn bars_first(commands: &mut [Command]) {
+        commands.sort_by_key(|command| !matches!(command, Command::Bar { .. }));
+    }
+}
+
 /// What balancers in front are told; the fronts only render it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -14,9 +14,10 @@
     pub name: Arc<str>,
     pub address: Arc<str>,
     pub role: Role,
-    pub state: State,      // what holds: operators' word comes before the list's
-    pub listed: Entry,     // what the list says
-    back_at: Option<Time>, // when operators let it be used again
+    pub state: State,       // what holds: operators' word comes before the list's
+    pub listed: Entry,      // what the list says
+    back_at: Option<Time>,  // when operators let it be used again
+    past: Option<Arc<str>>, // where it was before it moved
 }
 
 impl Node {
@@ -33,14 +34,6 @@
     pub entries: Vec<Entry>,
     /// Those that are in another state or place than before, by name.
     pub noted: Vec<(Arc<str>, Entry)>,
-    /// For connections.
-    pub commands: Vec<Command>,
-}
-
-impl News {
-    fn bar(&mut self, address: &Arc<str>, barred: bool) {
-        self.commands.push(Command::Bar { address: address.clone(), barred });
-    }
 }
 
 /// The table. Numbers name nodes to the module; a number is used once.
@@ -49,6 +42,7 @@
     numbers: HashMap<Arc<str>, ServerId>,
     next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
+    barred: HashSet<Arc<str>>, // addresses to which nothing new may go, as was last commanded
     bans: Bans,
     bans_changed: bool,
 }
@@ -119,15 +113,16 @@
             let back_at = before.as_ref().and_then(|it| it.back_at).max(self.bans.ended(&name));
             let state = self.state_of(&name, entry.state);
             let role = entry.role;
-            let node = Node { name, address: address.clone(), role, state, listed: entry, back_at };
-            if before.as_ref().is_some_and(|it| it.address != address) {
+            let moved = before.as_ref().filter(|it| it.address != address).map(|it| it.address.clone());
+            if moved.is_some() {
                 debug!(log, "a node has moved"; "server" => server, "address" => %address);
             }
+            let past = moved.or_else(|| before.as_ref().and_then(|it| it.past.clone()));
+            let node = Node { name, address: address.clone(), role, state, listed: entry, back_at, past };
             let entry = node.entry();
             if before.as_ref().is_none_or(|it| it.state != state || it.address != address) {
                 debug!(log, "a node's state"; "server" => server, "name" => %node.name,
                     "address" => %address, "role" => ?role, "state" => ?state, "started" => ?node.listed.started);
-                news.bar(&address, state != State::Ready);
                 news.noted.push((node.name.clone(), entry.clone()));
             }
             self.nodes.insert(server, node);
@@ -135,19 +130,29 @@
         }
         if complete {
             for (_, node) in self.nodes.iter_mut().filter(|(server, _)| !named.contains(server)) {
-                node.listed.state = State::Gone;
-                if std::mem::replace(&mut node.state, State::Gone) != State::Gone {
-                    news.bar(&node.address, true);
-                }
+                (node.listed.state, node.state) = (State::Gone, State::Gone);
             }
         }
         news
     }
 
-    /// A node that took over an address must not inherit the bar of the one that left it.
-    pub fn unbar_ready(&self) -> Vec<Command> {
-        let ready = self.nodes.values().filter(|node| node.state == State::Ready);
-        ready.map(|node| Command::Bar { address: node.address.clone(), barred: false }).collect()
+    /// What has changed for connections: nothing new goes to the address of a node that is to get nothing, nor to one
+    /// that a node has left, unless one that may be used is there now.
+    pub fn bars(&mut self) -> Vec<Command> {
+        let ready = |node: &&Node| node.state == State::Ready;
+        let left = self.nodes.values().filter(|it| !ready(it)).map(|it| &it.address);
+        let past = self.nodes.values().filter_map(|it| it.past.as_ref());
+        let mut barred: HashSet<Arc<str>> = left.chain(past).cloned().collect();
+        for node in self.nodes.values().filter(ready) {
+            barred.remove(&node.address);
+        }
+        let before = std::mem::replace(&mut self.barred, barred);
+        let changed = |from: &HashSet<Arc<str>>, to: &HashSet<Arc<str>>, barred| {
+            let mut changed: Vec<Arc<str>> = to.difference(from).cloned().collect();
+            changed.sort();
+            changed.into_iter().map(move |address| Command::Bar { address, barred })
+        };
+        changed(&before, &self.barred, true).chain(changed(&self.barred, &before, false)).collect()
     }
 
     /// The state that holds, by what the list says.
@@ -189,7 +194,6 @@
             let entry = node.entry();
             news.noted.push((name.clone(), entry.clone()));
             news.entries.push(entry);
-            news.bar(&node.address, state != State::Ready);
         }
         news
     }
@@ -200,19 +204,15 @@
     }
 
     /// Lets go of nodes that are gone and have no attempt out: names and addresses are ever new, and the table
-    /// must not grow with them. The bar goes too, for nothing can be sent to a node that is not in the table.
-    pub fn forget_gone(&mut self, busy: &HashSet<ServerId>) -> (Vec<ServerId>, Vec<Command>) {
+    /// must not grow with them. Their bars go too, for nothing can be sent to a node that is not in the table.
+    pub fn forget_gone(&mut self, busy: &HashSet<ServerId>) -> Vec<ServerId> {
         let over = |(server, node): &(&ServerId, &Node)| node.state == State::Gone && !busy.contains(server);
         let over: Vec<ServerId> = self.nodes.iter().filter(over).map(|(server, _)| *server).collect();
-        let mut commands = Vec::new();
         for server in &over {
             let Some(node) = self.nodes.remove(server) else { continue };
             self.numbers.remove(&node.name);
             self.bans.has_left(node.name);
-            if self.nodes.values().all(|other| other.address != node.address) {
-                commands.push(Command::Bar { address: node.address, barred: false });
-            }
         }
-        (over, commands)
+        over
     }
 }
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -38,6 +38,8 @@
 const LEASE_PAUSE: Duration = Duration::from_millis(20);
 /// So much of all connections to nodes may stand idle at one of them.
 const IDLE_PART: usize = 12;
+/// So many commands are taken at once.
+const COMMANDS: usize = 1024;
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
 
@@ -110,11 +112,17 @@
     let mut tasks: JoinSet<()> = JoinSet::new();
     let mut trials: HashMap<tokio::task::Id, (RequestId, u32)> = HashMap::new();
     let mut cancels: HashMap<(RequestId, u32), oneshot::Sender<()>> = HashMap::new();
+    let mut taken = Vec::new();
     loop {
         tokio::select! {
-            command = commands.recv() => match command {
-                None => break,
-                Some(Command::Send { id, attempt, address, work, timeout, alone }) => {
+            count = commands.recv_many(&mut taken, COMMANDS) => {
+                if count == 0 {
+                    break;
+                }
+                // What waits is taken at once, and bars are up before any of it is sent.
+                Command::bars_first(&mut taken);
+                for command in taken.drain(..) { match command {
+                Command::Send { id, attempt, address, work, timeout, alone } => {
                     let (cancel, cancelled) = oneshot::channel::<()>();
                     let shared = shared.clone();
                     let trial = Trial { id, attempt, address, work, timeout, alone };
@@ -139,29 +147,29 @@
                     trials.insert(handle.id(), (id, attempt));
                     cancels.insert((id, attempt), cancel);
                 }
-                Some(Command::Cancel { id, attempt }) => {
+                Command::Cancel { id, attempt } => {
                     if let Some(cancel) = cancels.remove(&(id, attempt)) {
                         let _ = cancel.send(());
                     }
                 }
-                Some(Command::Release { id, name, addresses }) => {
+                Command::Release { id, name, addresses } => {
                     let shared = shared.clone();
                     tasks.spawn(async move {
                         shared.release(&name, &addresses).await;
                         shared.door.tell(Event::Released(id)).await;
                     });
                 }
-                Some(Command::Probe { server, address }) => {
+                Command::Probe { server, address } => {
                     let shared = shared.clone();
                     tasks.spawn(async move { shared.probe(server, &address).await });
                 }
-                Some(Command::Bar { address, barred }) => {
+                Command::Bar { address, barred } => {
                     if barred {
                         shared.sessions.forget(&address);
                     }
                     dialer.bar(address, barred);
                 }
-            },
+            } } }
             Some(ended) = tasks.join_next_with_id() => {
                 let task = match &ended {
                     Ok((task, ())) => *task,
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -2,25 +2,34 @@
 //!
 //! A watch that has fallen silent is broken, and looks like one that has nothing to tell. What it misses counts as told
 //! 6 s after it fell silent, which may be the moment after it was opened, or 2 s after its wait is over where that is
-//! later. So a call is given up early enough for the next one to be answered by then.
+//! later. And whatever came of a call, a change counts as told 6 s after discovery had it. So a call is given up, and a
+//! failed one made again, early enough for the next one to be answered by then.
 //!
 //! Where lists are pushed, they come from an agent on this machine that answers at once and at no cost, and is silent
 //! while discovery is down. What it has when that is over counts as told in that moment: it is asked in short turns.
 
 use std::time::Duration;
 
-/// How long a watch waits for something new.
-const HOLD: Duration = Duration::from_secs(3);
+/// How long a watch waits for something new: where lists must be asked for, ...
+const HOLD: Duration = Duration::from_millis(1800);
+/// ... and where they come to this machine.
+const HOLD_HERE: Duration = Duration::from_secs(1);
 /// An agent that has not answered so long after it should have is silent: the call is made again. Where discovery
 /// has much to do a call waits its turn, and one that is given up has cost as much as one that was answered.
-const LATE: Duration = Duration::from_millis(2500);
+const LATE: Duration = Duration::from_secs(2);
 /// Between a call that nobody answered and the next: nobody is worse off for it.
 const RETRY: Duration = Duration::from_millis(100);
+/// Between a call that was turned away, or answered with what is no list, and the next, at most: that one may have to
+/// wait its turn, and be answered in the time in which news counts as told.
+pub const PAUSE_MOST: Duration = Duration::from_millis(3800);
+/// What was turned away only after this had waited its turn: discovery has more calls than it can answer, and all that
+/// call it have to leave it more time.
+const QUEUED: Duration = Duration::from_secs(1);
 /// An agent on this machine is silent after this, ...
-const LATE_HERE: Duration = Duration::from_millis(200);
-/// ... is called again after this, ...
+const LATE_HERE: Duration = Duration::from_millis(100);
+/// ... is called again after this, or where it answered with what is no list, ...
 const RETRY_HERE: Duration = Duration::from_millis(20);
-/// ... and is thought slow, and given more time, where it has not answered so many calls in turn.
+/// ... and may be slow where it has not answered so many calls in turn: one in so many is then given more time.
 const TURNS: u32 = 100;
 
 /// A call to discovery.
@@ -47,10 +56,14 @@
 
     /// The next call.
     pub fn call(&self) -> Call {
-        let prompt = self.pushed && self.silent < TURNS;
-        let late = if prompt { LATE_HERE } else { LATE };
-        // One that was silent is asked for what it has, without a wait in which it may fall silent again unseen.
-        let hold = if prompt && self.silent > 0 { Duration::ZERO } else { HOLD };
+        let patient = self.silent > 0 && self.silent.is_multiple_of(TURNS);
+        let late = if self.pushed && !patient { LATE_HERE } else { LATE };
+        let hold = match self.pushed {
+            // One that was silent is asked for what it has, without a wait in which it may fall silent again unseen.
+            true if self.silent > 0 => Duration::ZERO,
+            true => HOLD_HERE,
+            false => HOLD,
+        };
         match self.revision {
             None => Call { target: "/v1/endpoints".to_owned(), patience: late },
             Some(from) => Call {
@@ -74,12 +87,21 @@
     /// Nobody has answered. When to call again.
     pub fn unanswered(&mut self) -> Duration {
         self.silent = self.silent.saturating_add(1);
-        if self.pushed && self.silent < TURNS {
+        if self.pushed && !self.silent.is_multiple_of(TURNS) {
             RETRY_HERE
         } else {
             RETRY
         }
     }
+
+    /// What was answered, so long after the call, is no list. The longest pause before the next call.
+    pub fn longest_pause(&self, after: Duration) -> Duration {
+        match self.pushed {
+            true => RETRY_HERE,
+            false if after < QUEUED => PAUSE_MOST,
+            false => Duration::MAX,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -8,6 +8,7 @@
 use quartzhall::settings::{Profile, Site};
 use quartzhall_recording::{Key, Record, Table};
 use slog::{o, Discard, Logger};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -366,6 +367,15 @@
         };
         self.commands.iter().filter_map(bar).collect()
     }
+
+    /// What is barred by all that was commanded.
+    fn barred(&self) -> Vec<&str> {
+        let mut barred = BTreeSet::new();
+        for (address, is_barred) in self.bars() {
+            let _ = if is_barred { barred.insert(address) } else { barred.remove(address) };
+        }
+        barred.into_iter().collect()
+    }
 }
 
 #[test]
@@ -393,8 +403,7 @@
     );
     let moved = Member { address: "127.0.0.1:7999".into(), ..member("r", Role::Reader, State::Ready) };
     bench.hear(Event::Members { complete: false, members: vec![moved] });
-    assert_eq!(bench.bars().last(), Some(&("127.0.0.1:7002", false)), "the writer's, as ever");
-    assert!(bench.bars().contains(&("127.0.0.1:7999", true)));
+    assert_eq!(bench.barred(), ["127.0.0.1:7001", "127.0.0.1:7999"], "where it was, where it is, no writer");
     let _waits = bench.ask(1, 0, "a");
     bench.pass(200 * MS);
     assert_eq!(bench.sends(), 0);
@@ -549,16 +558,60 @@
             Member { name: name.into(), address: "".into(), entry, partial: true }
         };
         bench.hear(Event::Members { complete: false, members: vec![partial("r"), partial("never")] });
-        assert_eq!(bench.bars().last(), Some(&("127.0.0.1:7002", false)), "the writer's, as ever");
-        assert!(bench.bars().contains(&("127.0.0.1:7001", true)), "{state:?}");
+        let barred: &[&str] = if state == State::Gone { &[] } else { &["127.0.0.1:7001"] };
+        assert_eq!(bench.barred(), barred, "one that is gone with nothing out is forgotten, with its bar");
         assert_eq!(bench.core.readiness(), Readiness::Starting, "{state:?}");
         let _waits = bench.ask(1, 0, "a");
         bench.pass(200 * MS);
         assert_eq!(bench.sends(), 0, "{state:?}");
-        assert!(bench.bars().iter().all(|(address, _)| !address.is_empty()));
     }
 }
 
+/// A node that moves leaves an address that others may have: what waits for a connection there was meant for it, and
+/// the bar went to the new address only. Two entries with one address: one that may be used is there.
+#[test]
+fn the_address_that_a_node_has_left_is_barred_until_one_that_may_be_used_is_there() {
+    let mut bench = Bench::new(10);
+    let at = |name: &str, port: u32, state| Member {
+        address: format!("127.0.0.1:{port}").into(),
+        ..member(name, Role::Reader, state)
+    };
+    let steps: [(&[Member], &[&str]); 9] = [
+        (&[at("r", 7999, State::Ready)], &["127.0.0.1:7001"]),
+        (&[at("r", 7999, State::Draining)], &["127.0.0.1:7001", "127.0.0.1:7999"]),
+        (&[at("new", 7999, State::Ready)], &["127.0.0.1:7001"]),
+        (&[at("old", 7001, State::Ready)], &[]),
+        (&[at("old", 7001, State::Draining)], &["127.0.0.1:7001"]),
+        (&[at("r", 7001, State::Ready)], &[]),
+        (&[at("r", 7998, State::Draining)], &["127.0.0.1:7001", "127.0.0.1:7998"]),
+        (&[at("old", 7001, State::Gone), at("r", 7001, State::Gone)], &[]),
+        (&[at("new", 7999, State::Gone)], &[]),
+    ];
+    for (members, barred) in steps {
+        bench.hear(Event::Members { complete: false, members: members.into() });
+        assert_eq!(bench.barred(), barred, "{members:?}");
+    }
+}
+
+/// A bar is put up before what was commanded earlier is sent: it stood behind that.
+#[test]
+fn bars_come_before_what_was_commanded_earlier() {
+    let mut bench = Bench::new(10);
+    let ask = |id| Ask { id, expires_in: 2_000 * MS, prompt: 500.0, max_tokens: 9.0, ..Ask::default() };
+    let work = Work { name: "a".into(), target: "/".into(), body: "{}".into() };
+    let (answer, _waits) = oneshot::channel();
+    bench.core.hear(START, Event::Request { ask: ask(1), work, answer });
+    bench.core.hear(
+        START,
+        Event::Members { complete: false, members: vec![member("r", Role::Reader, State::Draining)] },
+    );
+    let commands = bench.core.commands();
+    assert!(
+        matches!(commands[..], [Command::Bar { barred: true, .. }, Command::Send { .. }, ..]),
+        "{commands:?}"
+    );
+}
+
 /// A recording says of each request how it came, where it went, and how it ended, once; and names no session.
 #[test]
 fn a_recording_tells_each_request_once_and_no_session() {
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -4,7 +4,7 @@
 
 use quartzhall::api::{RequestId, Status};
 use quartzhall::dispatch::{Command, Event, Inbox, Piece, Work};
-use stand::{node_side, Fleet, Way, ANSWER};
+use stand::{node_side, node_side_for, Fleet, Way, ANSWER};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -114,6 +114,23 @@
     assert_eq!(fleet.ledger.lock().unwrap().released, 1);
 }
 
+/// Hundreds of sends may wait to be taken when their node is told to leave: none of them is begun after that. Taken one
+/// by one, the first hundred were.
+#[tokio::test]
+async fn no_send_that_waits_to_be_taken_goes_to_a_node_that_is_barred_by_then() {
+    let fleet = Fleet::start(false).await;
+    let (commands, mut inbox) = node_side_for(1024, &[]);
+    let address = &fleet.addresses[0];
+    for id in 0..600 {
+        commands.try_send(send(id, address)).unwrap();
+    }
+    commands.try_send(Command::Bar { address: address.as_str().into(), barred: true }).unwrap();
+    for _ in 0..600 {
+        assert_eq!(ended(&mut inbox).await, Status::ConnectFailed);
+    }
+    assert_eq!(fleet.sent_to(0), 0);
+}
+
 /// A refused connection proves that nothing ran; a lease call goes on to a node that can be reached.
 #[tokio::test]
 async fn a_refused_connection_never_ran_and_a_lease_call_tries_the_next_node() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -222,11 +222,18 @@
 
 /// The node side alone, with a test in the core's place.
 pub fn node_side(over_sessions: &[String]) -> (mpsc::Sender<dispatch::Command>, dispatch::Inbox) {
+    node_side_for(16, over_sessions)
+}
+
+/// The same, and so many commands may wait for it.
+pub fn node_side_for(
+    waiting: usize, over_sessions: &[String],
+) -> (mpsc::Sender<dispatch::Command>, dispatch::Inbox) {
     let profile: Profile = json::from_str(PROFILE).unwrap();
     let site = Arc::new(Site::new(&profile).unwrap());
     let bounds = site.bounds;
     let (door, inbox) = dispatch::door(site);
-    let (commands, commanded) = mpsc::channel(16);
+    let (commands, commanded) = mpsc::channel(waiting);
     let speak = over_sessions.iter().cloned().collect();
     tokio::spawn(nodes::run(
         commanded,
--- a/tests/unit/backoff.rs
+++ b/tests/unit/backoff.rs
@@ -43,3 +43,16 @@
     alone.succeeded();
     assert!(alone.pause() <= Duration::from_millis(300));
 }
+
+/// However many call, and whatever failed before, a pause can be bounded; pauses still differ then.
+#[test]
+fn a_pause_can_be_bounded_and_is_still_drawn() {
+    let most = Duration::from_millis(3800);
+    for callers in [1, 30, 300] {
+        let mut backoff = Backoff::new(callers, 7);
+        let pauses: Vec<_> = (0..200).map(|_| backoff.pause_within(most)).collect();
+        assert!(pauses.iter().all(|pause| *pause <= most), "{callers} callers");
+        assert!(pauses.iter().max() > pauses.iter().min().map(|it| *it * 2).as_ref(), "{callers} callers");
+        assert!(Backoff::new(callers, 8).first() + Duration::from_secs(2) <= Duration::from_secs(6));
+    }
+}
--- a/tests/unit/watch.rs
+++ b/tests/unit/watch.rs
@@ -75,6 +75,44 @@
         let mut watch = Watch::from(None, pushed);
         assert_eq!(watch.call().target, "/v1/endpoints");
         assert!(watch.answered(7) && !watch.answered(7) && watch.answered(8));
-        assert!(watch.call().target.starts_with("/v1/endpoints?from=8&hold_ms=3"));
+        let hold = if pushed { HOLD_HERE } else { HOLD };
+        assert_eq!(watch.call().target, format!("/v1/endpoints?from=8&hold_ms={}", hold.as_millis()));
     }
 }
+
+/// Where discovery is not on this machine a call may wait for its turn there, as long as it is given time for that: also
+/// the one that comes after a watch that fell silent.
+#[test]
+fn what_a_distant_watch_misses_is_told_in_time_though_the_next_call_waits_for_its_turn() {
+    let mut watch = Watch::from(Some(41), false);
+    let call = watch.call();
+    let noticed = call.patience + watch.unanswered();
+    assert!(noticed + LATE <= told(Duration::ZERO, hold(&call)), "{call:?}");
+}
+
+/// Whatever was answered that is no list: the next call is made, and has waited its turn, before a change counts as told.
+#[test]
+fn a_call_that_was_turned_away_is_made_again_in_time() {
+    let told = Duration::from_secs(6);
+    let watch = Watch::from(Some(41), false);
+    for after in (0..QUEUED.as_millis() as u64).step_by(50).map(Duration::from_millis) {
+        assert!(watch.longest_pause(after) + LATE + ROUND_TRIP <= told, "{after:?}");
+    }
+    // What waited its turn only to be turned away leaves the others room: discovery can't be reached then.
+    assert_eq!(watch.longest_pause(QUEUED), Duration::MAX);
+    let here = Watch::from(Some(41), true);
+    for after in [Duration::ZERO, QUEUED] {
+        assert!(here.longest_pause(after) + LATE_HERE + ROUND_TRIP <= Duration::from_millis(250));
+    }
+}
+
+/// An outage of any length is over for a pushed list when it is over: one call in a hundred is given more time.
+#[test]
+fn an_agent_that_was_silent_for_long_is_still_asked_in_short_turns() {
+    let mut watch = Watch::from(Some(41), true);
+    let patient = (0..10 * TURNS).filter(|_| {
+        watch.unanswered();
+        watch.call().patience >= LATE
+    });
+    assert_eq!(patient.count(), 10);
+}
