Connections end in order: the last answer arrives, and what has begun to come is answered

- Heard::poll_shutdown only ended the sending and the socket was closed over unread bytes, which resets it: a client that had sent 40 KB behind its request got 128,000 of 1,048,576 bytes of its last answer.
What still comes is read and discarded now, up to the client's end, 300 ms or 1 MB, at once where others wait for a place.
- Seat::over judged by the phase read before it waited, in an unbiased select: a head that was whole in the step in which its time was up was dropped with its request.
- At the end the listener was dropped with connections in its queue: those are taken now.
Half a head was given up by hyper's graceful_shutdown (also behind an earlier request): connections with a begun head, and new ones for 0.3 s, are waited for.
Three tests in tests/clients.rs, all failing on the state before.
Last writes before the exit were ruled out by reading: serve joins the task of each connection, which ends after flush and shutdown.

--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -12,6 +12,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::Router;
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -19,6 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn, Logger};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
@@ -30,7 +32,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant, Sleep};
 use tower_service::Service;
 
 /// From its start, or from the first byte of a later one, a connection has so long for a request's whole head.
@@ -44,6 +46,12 @@
 /// At the limit, one that has said nothing at all makes room sooner: a client connects when it has something to
 /// ask, so that its request is there when it is taken, and crowds of mute ones would keep it waiting for seconds.
 const MUTE_TIME: Duration = Duration::from_millis(300);
+/// When an answer was the last one of its connection, what the client still sends is read for so long ...
+const LINGER_TIME: Duration = Duration::from_millis(300);
+/// ... and up to so many bytes: a close over unread bytes resets the connection, and takes the answer with it.
+const LINGER_BYTES: usize = 1 << 20;
+/// When the dispatcher ends, a request that has begun to come is looked for this often.
+const LOOK: Duration = Duration::from_millis(20);
 /// A connection's read buffer: a head must fit, and so much may wait behind a request that is open.
 const BUFFER: usize = 16 * 1024;
 
@@ -160,6 +168,22 @@
         }
     }
 
+    /// Returns when the dispatcher ends and no request has begun to come: a new client has its request at hand, and half
+    /// a head becomes a whole one, or its time is up.
+    async fn rests(&self, course: &mut watch::Receiver<Course>) {
+        let _ = course.wait_for(|course| *course == Course::Ending).await;
+        loop {
+            // What has come by now is read first.
+            tokio::task::yield_now().await;
+            let (phase, since) = *self.state();
+            match phase {
+                Phase::Idle | Phase::Open => return,
+                Phase::New if since.elapsed() >= MUTE_TIME => return,
+                Phase::New | Phase::Head => sleep(LOOK).await,
+            }
+        }
+    }
+
     /// Returns when the connection has to go.
     async fn over(&self) {
         loop {
@@ -177,8 +201,11 @@
             };
             tokio::select! {
                 () = late => {
-                    // What was taken meanwhile counts: only a client that is still as it was has to go.
-                    if phase != Phase::Open || self.stalled().is_some_and(|it| it + STALL_TIME <= Instant::now()) {
+                    // What came meanwhile counts, also in this very step: a head that is whole, what was taken of an
+                    // answer. Only a client that is still as it was has to go.
+                    let still = *self.state() == (phase, since);
+                    let stalled = || self.stalled().is_some_and(|it| it + STALL_TIME <= Instant::now());
+                    if still && (phase != Phase::Open || stalled()) {
                         return;
                     }
                 }
@@ -235,11 +262,13 @@
     seat: Arc<Seat>,
     behind: BytesMut,
     over: bool, // nothing comes behind that
+    house: House,
+    lingers: Option<(Pin<Box<Sleep>>, usize)>, // how long, and for how many bytes
 }
 
 impl Heard {
-    fn new(stream: TcpStream, seat: Arc<Seat>) -> Self {
-        Heard { stream, seat, behind: BytesMut::new(), over: false }
+    fn new(stream: TcpStream, seat: Arc<Seat>, house: House) -> Self {
+        Heard { stream, seat, behind: BytesMut::new(), over: false, house, lingers: None }
     }
 
     /// Reads what comes behind an open request, until there is no more room for it. Ready at the client's end.
@@ -299,8 +328,29 @@
         flushed
     }
 
+    /// Ends the sending, and then discards what still comes, up to the client's end or for a bounded time.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let this = &mut *self;
+        let (until, left) = match &mut this.lingers {
+            Some(lingers) => lingers,
+            None => {
+                ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+                // Where others wait for a place, only what is there already is read.
+                let time = if this.house.is_full() { Duration::ZERO } else { LINGER_TIME };
+                this.lingers.insert((Box::pin(sleep(time)), LINGER_BYTES))
+            }
+        };
+        while !this.over && *left > 0 {
+            let mut some = [MaybeUninit::uninit(); 4096];
+            let mut some = ReadBuf::uninit(&mut some);
+            match Pin::new(&mut this.stream).poll_read(context, &mut some) {
+                Poll::Ready(Ok(())) => this.over = some.filled().is_empty(),
+                Poll::Ready(Err(_)) => this.over = true,
+                Poll::Pending => return until.as_mut().poll(context).map(Ok),
+            }
+            *left = left.saturating_sub(some.filled().len());
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -378,20 +428,20 @@
     let _ = stream.set_nodelay(true);
     let (mut course, mover) = (house.course.clone(), house.mover.clone());
     let taken = seat.clone();
+    let wire = TokioIo::new(Heard::new(stream, seat.clone(), house.clone()));
     let service = service_fn(move |request| {
         let answer = answer(routes.clone(), house.clone(), taken.clone(), request);
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
-    let wire = TokioIo::new(Heard::new(stream, seat.clone()));
     let mut connection = pin!(http.serve_connection(wire, service).with_upgrades());
     let mut ending = false;
     loop {
         tokio::select! {
             // First, so that it does not come between a move and its end.
             biased;
-            _ = course.wait_for(|course| *course == Course::Ending), if !ending => {
+            () = seat.rests(&mut course), if !ending => {
                 ending = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -410,6 +460,17 @@
 }
 
 impl Seats {
+    /// Serves a connection that has its place.
+    fn serve(&mut self, connections: &mut JoinSet<()>, stream: TcpStream, place: Place, routes: &Router) {
+        let seat = Seat::new();
+        let (routes, house, of_task) = (routes.clone(), self.house.clone(), seat.clone());
+        let task = connections.spawn(async move {
+            serve_one(stream, of_task, routes, house).await;
+            drop(place);
+        });
+        self.taken.insert(task.id(), seat);
+    }
+
     /// A place for a new connection. At the limit a mute one, or the one that has stood idle longest, is closed for
     /// it; where none has done so for long enough, the new one waits in the listener's queue.
     async fn place(&self) -> Option<Place> {
@@ -475,13 +536,15 @@
             (_, None) => break,
         };
         pause = Duration::from_millis(5);
-        let seat = Seat::new();
-        let (routes, house, of_task) = (routes.clone(), seats.house.clone(), seat.clone());
-        let task = connections.spawn(async move {
-            serve_one(stream, of_task, routes, house).await;
-            drop(place);
-        });
-        seats.taken.insert(task.id(), seat);
+        seats.serve(&mut connections, stream, place, &routes);
+    }
+    if *course.borrow() == Course::Ending {
+        // Nobody else takes those that came before this and wait in the queue.
+        while let (Some(place), Some(Ok((stream, _)))) =
+            (seats.house.places.take_now(1), listener.accept().now_or_never())
+        {
+            seats.serve(&mut connections, stream, place, &routes);
+        }
     }
     drop(listener);
     info!(log, "no more connections are taken"; "open" => connections.len());
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -13,13 +13,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 const GET: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
 const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: c\r\nX-Qos: status-query\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: 4000000000\r\nX-Props: prompt_len=500,max_out=100\r\n";
 
 async fn send(address: &str, text: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.unwrap();
+    // Else a second small write would wait for the first one's acknowledgement, in real time.
+    stream.set_nodelay(true).unwrap();
     stream.write_all(text.as_bytes()).await.unwrap();
     stream
 }
@@ -43,6 +45,13 @@
     let (stop, stopped) = watch::channel(Course::Serving);
     let routes = Router::new()
         .route("/ready", get(|| async { "ready." }))
+        .route(
+            "/later",
+            get(|| async {
+                sleep(Duration::from_millis(5)).await;
+                "ready."
+            }),
+        )
         .route("/post", post(|_: axum::body::Bytes| async {}));
     tokio::spawn(listener::serve(
         listener,
@@ -251,3 +260,84 @@
         assert_eq!(told.matches("HTTP/1.1 200").count(), 502);
     }
 }
+
+/// A head's last byte comes in the step in which its time is up, and a request in the one in which an idle connection
+/// is closed for a new one: either is answered. Judged by what held before the wait, half of them were dropped.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_is_whole_as_its_time_is_up_is_answered() {
+    let (address, _stop) = listen(90).await;
+    for before in ["", GET] {
+        for _ in 0..20 {
+            let later = GET.replace("ready", "later");
+            let mut client = send(&address, &format!("{before}{}", &later[..later.len() - 1])).await;
+            if !before.is_empty() {
+                assert!(read(&mut client, "ready.").await.ends_with("ready."));
+            }
+            // The listener has read what came, and nothing else is under way.
+            sleep(Duration::from_millis(1)).await;
+            assert_eq!(client.try_write(b"\n").unwrap(), 1);
+            tokio::time::advance(Duration::from_millis(2200)).await;
+            assert!(read(&mut client, "ready.").await.ends_with("ready."), "after {} bytes", before.len());
+        }
+    }
+}
+
+/// An answer is the last one of its connection, and more has come behind the request: a close over unread bytes would
+/// reset the connection, and what the client has not read of the answer would be gone with it.
+#[tokio::test]
+async fn the_last_answer_reaches_a_client_that_has_sent_more() {
+    const LENGTH: usize = 1 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (stop, stopped) = watch::channel(Course::Serving);
+    let routes = Router::new().route("/ready", get(|| async { "x".repeat(LENGTH) }));
+    let log = Logger::root(Discard, o!());
+    let over = tokio::spawn(listener::serve(listener, routes, Places::new(9), stopped, None, log));
+    let close = GET.replace("Host", "Connection: close\r\nHost");
+    for behind in [1, 1000, 40_000, 200_000] {
+        let mut client = send(&address, &close).await;
+        client.write_all(&vec![b'?'; behind]).await.unwrap();
+        let told = read(&mut client, "").await;
+        assert!(told.len() > LENGTH && told.ends_with("xxx"), "{} bytes, {behind} behind", told.len());
+    }
+    // A client that rests until the connection is ended, and then sends: it is not reset either.
+    let mut client = send(&address, GET).await;
+    let mut told = 0;
+    while told < LENGTH {
+        told += client.read(&mut [0; 4096]).await.unwrap();
+    }
+    stop.send(Course::Ending).unwrap();
+    while client.read(&mut [0; 4096]).await.unwrap() > 0 {}
+    client.write_all(GET.as_bytes()).await.unwrap();
+    tokio::task::yield_now().await;
+    assert_eq!(client.read(&mut [0; 16]).await.unwrap(), 0);
+    drop(client);
+    timeout(Duration::from_secs(10), over).await.expect("it ends").unwrap();
+}
+
+/// When the dispatcher ends, a request of which half has come is answered, and connections that wait in the listener's
+/// queue are taken.
+#[tokio::test(start_paused = true)]
+async fn at_the_end_what_has_begun_to_come_is_answered() {
+    for read_before in [false, true] {
+        let (address, stop) = listen(9).await;
+        let mut half = send(&address, &GET[..20]).await;
+        let mut rests = send(&address, GET).await;
+        assert!(read(&mut rests, "ready.").await.ends_with("ready."));
+        if read_before {
+            rests.write_all(&GET.as_bytes()[..9]).await.unwrap();
+            sleep(Duration::from_millis(1)).await; // the listener has read it, and nothing else is under way
+        }
+        let mut queued = TcpStream::connect(&address).await.unwrap();
+        stop.send(Course::Ending).unwrap();
+        queued.write_all(GET.as_bytes()).await.unwrap();
+        assert!(read(&mut queued, "").await.ends_with("ready."), "it waited in the queue");
+        half.write_all(&GET.as_bytes()[20..]).await.unwrap();
+        assert!(read(&mut half, "").await.ends_with("ready."), "half of it had come");
+        if read_before {
+            rests.write_all(&GET.as_bytes()[9..]).await.unwrap();
+            let told = read(&mut rests, "").await;
+            assert!(told.ends_with("ready."), "half of a later one had come: {told}");
+        }
+    }
+}
