--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -271,6 +271,75 @@
     }
 }
 
+/// A fleet's sends to readers that come back cold after 20 s, a hundred requests a second: a quarter of the routers has
+/// two thirds of the traffic, a third of them hears of the start a second late, and seven in ten are started anew in the
+/// moment in which the readers are. Tells the most by which sends of those that had heard exceeded `N + 2 sqrt(N) + 2` in
+/// any span of the rule, `N` being the multiple of what the reader can bear then.
+fn excess_at_cold_readers(balancers: u32, seed: u64) -> f64 {
+    let rules = Settings { balancers, ..settings(vec![class(1.0, Effect::Safe)]) };
+    let mixed = |it: u64| quartzhall::settings::hash(&format!("{seed}, {it}"));
+    let fleet: Vec<_> =
+        (1..=8).map(|id| server(id, Role::Reader)).chain([server(12, Role::Writer)]).collect();
+    let start = 20 * SECOND;
+    let cold: Vec<_> = (1..=4).map(|id| Entry { started: Some(start), ..server(id, Role::Reader) }).collect();
+    let router = |now: Time, number: u32| {
+        let mut desk = Desk::new(rules.clone(), Vec::new());
+        desk.now = now;
+        desk.router = Router::new(rules.clone(), mixed(u64::from(number) + now), now);
+        desk.hear(Event::Wake);
+        desk.hear(Event::Members { complete: true, entries: fleet.clone() });
+        desk
+    };
+    let mut desks: Vec<(Desk, bool)> = (0..balancers).map(|number| (router(0, number), false)).collect();
+    let mut sent: Vec<Vec<Time>> = vec![Vec::new(); 4];
+    for id in 0..3_000 {
+        let now = id * 10 * MS;
+        if now == start {
+            for number in (0..balancers).filter(|number| mixed(u64::from(*number)) % 10 < 7) {
+                desks[number as usize] = (router(now, number), false);
+            }
+        }
+        let draw = mixed(1_000_000 + id);
+        let all = u64::from(balancers);
+        let turn = if draw % 3 < 2 { draw / 3 % all.div_ceil(4) } else { draw / 3 % all } as usize;
+        let (desk, told) = &mut desks[turn];
+        desk.pass(now.saturating_sub(desk.now));
+        let hears = start + if mixed(2_000_000 + turn as u64).is_multiple_of(3) { SECOND } else { 0 };
+        if now >= hears && !*told {
+            *told = true;
+            desk.hear(Event::Members { complete: false, entries: cold.clone() });
+        }
+        let told = *told;
+        let reader = desk.serve(Ask { session: None, ..ask(id, id) }, 4 * MS, 4 * MS, 4 * MS)[0];
+        if told && reader <= 4 {
+            sent[reader as usize - 1].push(now);
+        }
+    }
+    let mut worst = f64::MIN;
+    for times in sent {
+        for (at, from) in times.iter().enumerate() {
+            let in_span = times[at..].iter().take_while(|time| **time < from + rules.fall).count() as f64;
+            let age = ((from - start) as f64 / rules.warm_within as f64).min(1.0);
+            // Eight warm readers bear a hundred requests a second between them.
+            let able = 100.0 / 8.0 * (rules.cold_from + (1.0 - rules.cold_from) * age);
+            let budget = rules.fall_multiple * able * rules.fall as f64 / SECOND as f64;
+            worst = worst.max(in_span - budget - 2.0 * budget.sqrt() - 2.0);
+        }
+    }
+    worst
+}
+
+/// However many routers there are, however uneven their traffic, and though most of them have just begun to count.
+#[test]
+fn no_cold_server_falls_under_the_sum_of_all_routers() {
+    for (balancers, seeds) in [(2, 12), (5, 12), (30, 4), (300, 1)] {
+        for seed in 0..seeds {
+            let worst = excess_at_cold_readers(balancers, seed);
+            assert!(worst <= 0.0, "{balancers} routers, seed {seed}: {worst} requests too many");
+        }
+    }
+}
+
 /// A slow reader makes a safe request go out twice; a single-shot one waits, for nothing proves that the
 /// read that is out had no effect.
 #[test]
