--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -19,6 +19,8 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{sleep, timeout, Instant};
 
+/// Who answers sooner, with nothing newer, does not wait as a watch should, and is called again after this.
+const IDLE: Duration = Duration::from_millis(20);
 /// A list is not read beyond this.
 const LONGEST: usize = 4 * 1024 * 1024;
 
@@ -137,10 +139,14 @@
                 debug!(log, "a list"; "revision" => list.revision, "complete" => list.complete,
                     "members" => list.members.len());
                 let news = !list.members.is_empty() || list.complete;
-                if watch.answered(list.revision) || news {
+                let newer = watch.answered(list.revision);
+                if newer || news {
                     // Who leaves is not to be sent what comes meanwhile.
                     door.tell_first(members(site, &list, log)).await;
                 }
+                if !newer && began.elapsed() < IDLE {
+                    sleep(IDLE).await;
+                }
             }
             Err(failure) => {
                 let heard_before = watch.is_heard();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -180,3 +180,15 @@
     let most = most.load(Ordering::SeqCst);
     assert!(most <= 2, "{most} connections at once");
 }
+
+/// A discovery that answers each watch at once, with the same list, is not called without a pause.
+#[tokio::test(start_paused = true)]
+async fn who_does_not_wait_is_not_called_without_a_pause() {
+    let (address, calls, _) = agent(&[Says::Text(OK)]).await;
+    let (_door, mut inbox, _task) = follow(address, true, 1, None);
+    let began = Instant::now();
+    while calls.load(Ordering::SeqCst) < 100 {
+        inbox.next().await;
+    }
+    assert!(began.elapsed() > Duration::from_secs(1), "{:?}", began.elapsed());
+}
