A repeat comes within its window also where its connection is slow

A repeat of a guarded class is dropped if its last byte comes within the window. logic::effect_allows compares the moment of the command, and the copy may wait 250 ms each for a place and for its connection: commanded in the window's last half second it could run twice. The test fails without it (a write 1450 ms into a window of 2 s).

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -3,7 +3,7 @@
 use super::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
 use super::nodes::{News, Nodes};
 use super::table::{Attempt, Ended, Held, Table};
-use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, State, Status, Time};
+use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, Settings, State, Status, Time};
 use crate::bans::Marks;
 use crate::hearsay::Hearsay;
 use crate::notes::Notes;
@@ -21,9 +21,22 @@
 
 /// The core looks over its table this often while there are requests in it.
 const SWEEP: Time = 20_000;
+/// From a send's command to its last byte's arrival, but for the wait for a place and a connection.
+const ON_THE_WAY: Time = 100_000;
 /// The number of a class that is gone is used again after this at the earliest.
 const CLASS_QUIET: Time = 60_000_000;
 
+/// The settings for the module. A repeat is dropped if its last byte comes within the window, and it may be on its way for
+/// as long as a place and then a connection are waited for: the module is told of a window that is shorter by that.
+fn in_time(mut settings: Settings, dial: Time) -> Settings {
+    for class in &mut settings.classes {
+        if let Effect::Keyed { window, .. } = &mut class.effect {
+            *window = window.saturating_sub(2 * dial + ON_THE_WAY);
+        }
+    }
+    settings
+}
+
 /// The state machine. Its caller gives it the time with each event and does what it commands.
 pub struct Core {
     router: Router,
@@ -51,7 +64,7 @@
     /// `most_places`: so many requests can be open at once.
     pub fn new(site: Arc<Site>, most_places: usize, seed: u64, now: Time, log: Logger) -> Self {
         let mut core = Core {
-            router: Router::new(site.settings.clone(), seed, now),
+            router: Router::new(in_time(site.settings.clone(), site.bounds.dial), seed, now),
             most_held: site.bounds.most_held.min(most_places),
             retired: vec![now; site.settings.classes.len()],
             site,
@@ -252,7 +265,7 @@
     fn follow(&mut self, now: Time) {
         let whole = self.site.bounds.most_held.min(self.most_places) as u128;
         self.most_held = ((whole * u128::from(self.part) / u128::from(PARTS)) as usize).max(1);
-        let mut settings = self.site.settings.clone();
+        let mut settings = in_time(self.site.settings.clone(), self.site.bounds.dial);
         settings.balancers = settings.balancers.saturating_mul(self.processes.max(1));
         self.step(now, api::Event::Settings(settings));
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -38,7 +38,11 @@
 
 impl Bench {
     fn new(most_held: usize) -> Bench {
-        let site = Arc::new(site(profile::PROFILE));
+        Bench::at(site(profile::PROFILE), most_held)
+    }
+
+    fn at(site: Site, most_held: usize) -> Bench {
+        let site = Arc::new(site);
         let log = Logger::root(Discard, o!());
         let core = Core::new(site, most_held, 7, START, log);
         let mut bench = Bench { core, now: START, commands: Vec::new() };
@@ -593,6 +597,50 @@
     }
 }
 
+/// Repeats are dropped for 2 s. One may wait for a place and for its connection, 250 ms each, so that none is commanded
+/// that may come later; also after new settings.
+#[test]
+fn a_repeat_comes_within_the_window_though_its_connection_is_slow() {
+    let keyed = profile::PROFILE.replace(
+        r#""repeat":"single_shot","group":"all","key_ttl":0.0"#,
+        r#""repeat":"guarded","group":"all","key_ttl":2000.0"#,
+    );
+    for renewed in [false, true] {
+        for (after, again) in [(1_200, true), (1_450, false), (1_900, false)] {
+            let mut bench = Bench::at(site(&keyed), 10);
+            if renewed {
+                let (answer, _taken) = oneshot::channel();
+                bench.hear(Event::Settings { site: Box::new(site(&keyed)), answer });
+            }
+            let ask = Ask {
+                id: 1,
+                class: 1,
+                expires_in: 9_000 * MS,
+                prompt: 500.0,
+                max_tokens: 9.0,
+                ..Ask::default()
+            };
+            let work = Work { name: "a".into(), target: "/".into(), body: "{}".into() };
+            let (answer, _waits) = oneshot::channel();
+            bench.hear(Event::Request { ask, work, answer });
+            bench.ended(1, 0, Status::Read);
+            assert_eq!(bench.sends(), 2);
+            bench.pass(after * MS);
+            let before = bench.sends();
+            bench.ended(1, 1, Status::Reset);
+            bench.pass(50 * MS);
+            bench.ended(1, 2, Status::Read);
+            bench.pass(50 * MS);
+            let writes = bench
+                .commands
+                .iter()
+                .filter(|it| matches!(it, Command::Send { address, .. } if address.ends_with('2')));
+            let writes = writes.count();
+            assert_eq!(writes > 1, again, "after {after} ms: {before} sends before, {} then", bench.sends());
+        }
+    }
+}
+
 /// A bar is put up before what was commanded earlier is sent: it stood behind that.
 #[test]
 fn bars_come_before_what_was_commanded_earlier() {
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -131,6 +131,24 @@
     assert_eq!(fleet.sent_to(0), 0);
 }
 
+/// A client leaves as its request is sent on: the cancel is taken with the send, and a kept connection is at hand. Nothing
+/// is begun for a client that has gone.
+#[tokio::test]
+async fn a_send_whose_cancel_is_taken_with_it_is_not_begun() {
+    let fleet = Fleet::start(false).await;
+    let (commands, mut inbox) = node_side(&[]);
+    let address = &fleet.addresses[0];
+    commands.send(send(1, address)).await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    commands.try_send(send(2, address)).unwrap();
+    commands.try_send(Command::Cancel { id: 2, attempt: 0 }).unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Cancelled);
+    commands.send(send(3, address)).await.unwrap();
+    assert_eq!(ended(&mut inbox).await, Status::Read);
+    let names: Vec<String> = fleet.ledger.lock().unwrap().sent.iter().map(|(_, name)| name.clone()).collect();
+    assert_eq!(names, ["n1", "n3"]);
+}
+
 /// A refused connection proves that nothing ran; a lease call goes on to a node that can be reached.
 #[tokio::test]
 async fn a_refused_connection_never_ran_and_a_lease_call_tries_the_next_node() {
