A crate for scale tests: steps of the module by fleet size, hollow fleets, an open-loop load

Need: what a dispatcher costs at 11,000 replicas and 530 dispatchers is not known, and no test of the project's own plays more than a handful of nodes. A test holds the decisions of the module in small fleets, draw for draw.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run. `make check` is what CI runs.
 CONFIG ?= /run/balancer/config.json
 
-.PHONY: build check format lint test run clean
+.PHONY: build check format lint test scale run clean
 
 build:
 	cargo build --release --locked
@@ -10,6 +10,8 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 	cargo test --locked --workspace
+	cargo build --locked --workspace --bins
+	target/debug/quartzhall-scale run crates/scale/scenarios/ci.toml --out target/scale-ci.json
 
 format:
 	cargo fmt --all
@@ -20,6 +22,10 @@
 test:
 	cargo test --locked --workspace
 
+scale: build
+	cargo build --release --locked --workspace --bins
+	target/release/quartzhall-scale run crates/scale/scenarios/small.toml
+
 run: build
 	target/release/quartzhall serve --config $(CONFIG)
 
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,24 @@
+//! Scale tests of the dispatcher.
+//!
+//! [`run`] plays a [`scenario`]: [`hollow`] replicas, discovery and dispatchers in one process, real dispatchers beside
+//! it ([`process`], configured by [`config`]), and an open-loop [`load`].
+//!
+//! [`world`] plays the decision module against modelled servers on a simulated clock; [`steps`] measures what each of
+//! its steps costs against the size of the fleet, and [`slope`] how that grows. [`results`] are kept as JSON, from which
+//! [`table`] writes the tables of `docs/CAPACITY.md`.
+
+#![deny(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod config;
+pub mod fleet;
+pub mod hollow;
+pub mod load;
+pub mod process;
+pub mod results;
+pub mod run;
+pub mod scenario;
+pub mod slope;
+pub mod steps;
+pub mod table;
+pub mod world;
--- /dev/null
+++ b/crates/scale/src/steps.rs
@@ -0,0 +1,61 @@
+//! The cost of the module's steps against the size of the fleet.
+
+use crate::fleet::Shape;
+use crate::results::{Cost, StepCosts};
+use crate::world::{Options, Report, World, UNITS_PER_MICROSECOND};
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+/// Requests a second that the target's peak gives one dispatcher: 31,000 over 530.
+pub const TARGET_RATE: f64 = 31_000.0 / 530.0;
+
+/// What one measurement of the steps is to do.
+#[derive(Clone, Debug)]
+pub struct Measurement {
+    /// Replicas of the fleet.
+    pub replicas: usize,
+    /// Part of them that is cold.
+    pub cold: f64,
+    /// Dispatchers that the settings tell of.
+    pub dispatchers: u32,
+    /// Draws fleet and traffic.
+    pub seed: u64,
+    /// Requests that are played at most, ...
+    pub arrivals: usize,
+    /// ... and real time that is spent at most.
+    pub within: Duration,
+}
+
+/// Plays one router of the module at the target's rate, and gives what its steps cost.
+pub fn measure(measurement: &Measurement) -> StepCosts {
+    let shape = Shape { cold: measurement.cold, ..Shape::of(measurement.replicas) };
+    let options = Options {
+        shape,
+        routers: 1,
+        dispatchers: measurement.dispatchers,
+        rate: TARGET_RATE,
+        others: true,
+        seed: measurement.seed,
+        arrivals: measurement.arrivals,
+        within: measurement.within,
+    };
+    costs(measurement, World::new(options, |_| {}).run())
+}
+
+fn costs(measurement: &Measurement, report: Report) -> StepCosts {
+    let cost = |histogram: &Histogram<u64>| Cost {
+        count: histogram.len(),
+        median_us: histogram.value_at_quantile(0.5) as f64 / UNITS_PER_MICROSECOND,
+        p99_us: histogram.value_at_quantile(0.99) as f64 / UNITS_PER_MICROSECOND,
+        mean_us: histogram.mean() / UNITS_PER_MICROSECOND,
+    };
+    StepCosts {
+        replicas: measurement.replicas,
+        dispatchers: measurement.dispatchers,
+        cold: measurement.cold,
+        seed: measurement.seed,
+        arrivals: report.arrivals,
+        finished: report.arrivals >= measurement.arrivals,
+        steps: report.steps.iter().map(|(step, it)| (step.name().to_owned(), cost(it))).collect(),
+    }
+}
