A choice looks at a bounded number of servers in fleets of over 128

The best writer after each rack is found by judging each writer once as far and once as near. docs/candidates.md weighs the options. Tests: the index is that of its list over random changes, looks are bounded and widen to all, homes agree and are even, lots are as many as if all were looked at; a server that no first look has is found, nothing is refused that one not looked at would serve, nothing is sent to what has left (the first two were seen to fail without the widening and without the whole look).

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,12 +4,13 @@
 //! it ([`process`], configured by [`config`]), and an open-loop [`load`].
 //!
 //! [`world`] plays the decision module against modelled servers on a simulated clock; [`steps`] measures what each of
-//! its steps costs against the size of the fleet, and [`slope`] how that grows. [`results`] are kept as JSON, from which
+//! its steps costs against the size of the fleet, [`slope`] how that grows, and [`choice`] what the choice is worth. [`results`] are kept as JSON, from which
 //! [`table`] writes the tables of `docs/CAPACITY.md`.
 
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod choice;
 pub mod config;
 pub mod fleet;
 pub mod hollow;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the scale tests.
 
 use clap::{Args, Parser, Subcommand};
+use quartzhall_scale::choice;
 use quartzhall_scale::results::{self, Run};
 use quartzhall_scale::run::{self, Plan};
 use quartzhall_scale::scenario::Scenario;
@@ -24,6 +25,8 @@
 enum Task {
     /// Measure what the module's steps cost against the size of the fleet.
     Steps(Steps),
+    /// Compare the worth of a choice among candidates with that of a choice among all servers.
+    Choice(Choice),
     /// Play a scenario; exit code 1 where something that must hold does not.
     Run(RunScenario),
     /// Play a scenario at several sizes of its fleet in turn.
@@ -32,6 +35,25 @@
     Table(Table),
 }
 
+#[derive(Args)]
+struct Choice {
+    /// The file of results.
+    #[arg(long)]
+    out: PathBuf,
+    /// Replicas of the fleets.
+    #[arg(long, value_delimiter = ',', default_value = "100,300,1000")]
+    sizes: Vec<usize>,
+    /// Part of the replicas that is cold.
+    #[arg(long, default_value_t = 0.0)]
+    cold: f64,
+    /// Each size is played once with each seed.
+    #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+    seeds: Vec<u64>,
+    /// Simulated seconds of each play.
+    #[arg(long, default_value_t = 8.0)]
+    seconds: f64,
+}
+
 #[derive(Args)]
 struct RunScenario {
     /// The scenario's file.
@@ -161,6 +183,20 @@
     keep(&task.out, all)
 }
 
+fn compare_choices(task: &Choice, log: &Logger) -> Result<(), String> {
+    let mut all = Vec::new();
+    for replicas in &task.sizes {
+        for seed in &task.seeds {
+            let worth = choice::compare(*replicas, task.cold, *seed, task.seconds);
+            info!(log, "choice"; "replicas" => replicas, "seed" => seed, "candidates" => worth.worth_candidates,
+                "full" => worth.worth_full, "given_up" => worth.given_up_candidates,
+                "given_up_full" => worth.given_up_full, "same" => worth.same);
+            all.push(worth);
+        }
+    }
+    keep(&task.out, all)
+}
+
 fn write_tables(task: &Table) -> Result<(), String> {
     let read = |path: &Path| std::fs::read_to_string(path);
     let page = read(&task.page).map_err(|error| format!("{}: {error}", task.page.display()))?;
@@ -179,6 +215,7 @@
 fn carry_out(arguments: &Arguments, log: &Logger) -> Result<(), Failure> {
     match &arguments.task {
         Task::Steps(task) => measure_steps(task, log).map_err(Failure::Input),
+        Task::Choice(task) => compare_choices(task, log).map_err(Failure::Input),
         Task::Run(task) => {
             let scenario = Scenario::read(&task.scenario).map_err(Failure::Input)?;
             play(vec![scenario], &task.how, log)
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -63,6 +63,31 @@
     std::fs::write(path, text + "\n").map_err(|error| format!("{}: {error}", path.display()))
 }
 
+/// What a choice among candidates was worth, and one among all servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ChoiceWorth {
+    /// Replicas of the fleet.
+    pub replicas: usize,
+    /// Routers that were played, which is all of them.
+    pub routers: usize,
+    /// Part of the replicas that was cold.
+    pub cold: f64,
+    /// The seed of both plays.
+    pub seed: u64,
+    /// Requests of each play.
+    pub arrivals: usize,
+    /// Worth served in time with candidates, as part of what came.
+    pub worth_candidates: f64,
+    /// The same with all servers looked at.
+    pub worth_full: f64,
+    /// Requests that were refused or failed with candidates.
+    pub given_up_candidates: usize,
+    /// The same with all servers looked at.
+    pub given_up_full: usize,
+    /// Both did the same, draw for draw.
+    pub same: bool,
+}
+
 /// Rules that were counted at the replicas.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq)]
 pub struct RuleCounts {
--- a/crates/scale/src/steps.rs
+++ b/crates/scale/src/steps.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::Shape;
 use crate::results::{Cost, StepCosts};
-use crate::world::{Options, Report, World, UNITS_PER_MICROSECOND};
+use crate::world::{Options, Report, World, READ_RATE, UNITS_PER_MICROSECOND};
 use hdrhistogram::Histogram;
 use std::time::Duration;
 
@@ -35,6 +35,7 @@
         dispatchers: measurement.dispatchers,
         rate: TARGET_RATE,
         others: true,
+        read_rate: READ_RATE,
         seed: measurement.seed,
         arrivals: measurement.arrivals,
         within: measurement.within,
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -17,8 +17,8 @@
 const MS: Time = 1_000;
 const SECOND: Time = 1_000_000;
 
-/// Tokens that a warm reader reads in a second.
-const READ_RATE: f64 = 40_000.0;
+/// Tokens that a warm reader reads in a second, where its load is not to be felt.
+pub const READ_RATE: f64 = 40_000.0;
 /// From a send to a writer to its first token, when it is idle.
 const FIRST_TOKEN: Time = 15 * MS;
 /// Moving the state of 1,000 tokens to a writer of another rack.
@@ -104,6 +104,8 @@
     pub rate: f64,
     /// Servers carry the load of dispatchers that are not played, too.
     pub others: bool,
+    /// Tokens that a warm reader reads in a second.
+    pub read_rate: f64,
     /// Draws the fleet, the traffic and the routers' own draws.
     pub seed: u64,
     /// Ends after so many arrivals, ...
@@ -468,10 +470,11 @@
             true => (self.rng.gen_range(0.0..2.0) * OTHERS_WAIT as f64) as Time,
             false => 0,
         };
+        let rate = self.options.read_rate;
         let machine = &mut self.machines[server as usize];
         let found = |text: Option<u64>| text.and_then(|text| machine.kept.get(&text)).copied().unwrap_or(0.0);
         let kept = found(ask.session).max(found(ask.prefix).min(ask.prefix_tokens)).min(ask.prompt);
-        let took = ((ask.prompt - kept) / READ_RATE / capacity * 1e6) as Time;
+        let took = ((ask.prompt - kept) / rate / capacity * 1e6) as Time;
         machine.busy_until = machine.busy_until.max(self.now + others) + took;
         let ends_in = machine.busy_until - self.now + MS;
         machine.running += 1.0;
@@ -551,7 +554,8 @@
             false => 0.0,
         };
         let running = machine.running + if writes { others * OTHERS_RUNNING } else { others * 2.0 };
-        let waits = machine.busy_until.saturating_sub(self.now) as f64 / 1e6 * READ_RATE / 1000.0;
+        let waits =
+            machine.busy_until.saturating_sub(self.now) as f64 / 1e6 * self.options.read_rate / 1000.0;
         let memory = if writes { running * 1_500.0 / machine.entry.memory } else { 0.4 };
         Load {
             in_flight: Some(running),
--- a/crates/scale/tests/decisions.rs
+++ b/crates/scale/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! The decisions of the module in fleets of the size in service today, and how they grow beyond it.
 
 use quartzhall_scale::fleet::Shape;
-use quartzhall_scale::world::{Options, Report, World};
+use quartzhall_scale::world::{Options, Report, World, READ_RATE};
 use std::time::Duration;
 
 fn play(shape: Shape, seed: u64, arrivals: usize) -> Report {
@@ -11,6 +11,7 @@
         dispatchers: 12,
         rate: 60.0,
         others: true,
+        read_rate: READ_RATE,
         seed,
         arrivals,
         within: Duration::from_secs(600),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod api;
 pub mod backoff;
 pub mod bans;
+mod candidates;
 pub mod discovery;
 pub mod dispatch;
 pub mod framing;
@@ -91,6 +92,8 @@
 pub mod notes;
 pub mod peers;
 pub mod places;
+mod prefixes;
+mod quota;
 pub mod reload;
 pub mod settings;
 pub mod strict;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,9 @@
 //! `act` is the one way out and holds the rules, `outcome` learns. Seconds are `f64`, moments `Time`.
 
 use crate::api::*;
+use crate::candidates::{mix, Candidates, Look, Side};
+use crate::prefixes::Prefixes;
+use crate::quota::Quota;
 use nalgebra::{SMatrix, SVector};
 use rand::distributions::{Distribution, WeightedIndex};
 use rand::{Rng, SeedableRng};
@@ -30,11 +33,7 @@
 const STALE: f64 = 1.5; // seconds in which a report loses half of its weight against own counts
 const EVENNESS: f64 = 0.15; // weight of the fleet's usual load against own counts that see all of it
 const HOME_MATCH: f64 = 0.85; // part of a prompt that its session's home is presumed to keep at the start
-const HOMES_LEAST: f64 = 2.0; // readers that are homes of a shared text ...
-const HOMES_SPREAD: f64 = 2.0; // ... and this many times its part of the traffic, of all readers
 const FEW: f64 = 10.0; // routers whose own part of a cold server's ration is whole sends
-const COLD_HOME: f64 = 1.5; // a reader's rank falls with this power of the part of it that is warm
-const RECENT: usize = 30; // requests from which that part is told
 const FRESH: Time = 1_000_000; // a report younger than this needs no probe
 const ASKED: usize = 2; // servers asked for their load before a choice ...
 const ASKING_PART: f64 = 0.01; // ... and the part of the aim in which they are to answer
@@ -48,7 +47,6 @@
 const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
 const MEMORY_SPREAD: f64 = 0.1; // what is known of a writer's memory is off by about this part of it
 const ANSWER_PART: f64 = 0.33; // tokens of an answer as part of the most allowed, where no hint tells
-const QUOTA_BURST: f64 = 5.0; // seconds of a tenant's quota that may come at once
 const ROOM: f64 = 0.5; // part of a reader's memory that the texts noted for it may fill
 const KEPT_AIMS: Time = 60; // the prefix table forgets a text after so many of the shortest aims
 const HELD_PART: f64 = 0.8; // part of the time that a state may be held in which a writer is looked for
@@ -108,12 +106,6 @@
     to.iter_mut().zip(other).for_each(|(to, other)| *to = (*to + sign * other).max(0.0));
 }
 
-struct Kept {
-    tokens: f64,
-    own: f64, // those of them that are in no shared text
-    at: Time,
-}
-
 /// How attempts of a class fared at a server.
 #[derive(Clone, Copy, Default)]
 struct Health {
@@ -136,15 +128,9 @@
     health: BTreeMap<usize, Health>, // by class
     asked_at: Option<Time>,          // a probe is out
     sent: VecDeque<Time>,            // what was sent to it lately, while cold
-    kept: BTreeMap<u64, Kept>,       // the prefix table: by a session's or a shared text's key
 }
 
 impl Server {
-    fn kept_of(&self, ask: &Ask) -> f64 {
-        let of = |text: Option<u64>| text.and_then(|it| self.kept.get(&it)).map_or(0.0, |it| it.tokens);
-        of(ask.session).max(of(ask.prefix).min(ask.prefix_tokens)).min(ask.prompt)
-    }
-
     /// A server may turn away a class and serve the rest; one not tried fares like the best that was.
     fn health(&self, class: usize) -> Health {
         let best = || self.health.values().min_by(|a, b| a.failing.total_cmp(&b.failing));
@@ -185,9 +171,9 @@
     Whole,
 }
 
-/// The side of a stage, and with it the place of its model, its counts and its work; last the pace's model.
-const READ: usize = 0;
-const WRITE: usize = 1;
+// The place of each side's model, its counts and its work; last the pace's model.
+const READ: usize = Side::Read as usize;
+const WRITE: usize = Side::Write as usize;
 const PACE: usize = 2;
 const TOKENS: usize = 2; // the input of the readers' model that tells the tokens left to read
 
@@ -195,8 +181,8 @@
 const BORNE: usize = 1; // ... those at one warm server, on the mean ...
 const STARTED: usize = 2; // ... and what was sent
 
-fn side(stage: Stage) -> usize {
-    usize::from(stage == Stage::Write)
+fn side(stage: Stage) -> Side {
+    Side::of(stage == Stage::Write)
 }
 
 #[derive(Default)]
@@ -228,6 +214,7 @@
     asked: Option<Time>, // servers were asked for their load; when their answers are due
     due: Time,
     retry_at: Time,
+    widened: u32, // how often its look for servers was
 }
 
 impl Request {
@@ -263,6 +250,8 @@
     now: Time,
     out: Vec<Action>,
     servers: BTreeMap<ServerId, Server>,
+    candidates: Candidates,
+    prefixes: Prefixes,
     requests: BTreeMap<RequestId, Request>,
     due: BTreeSet<(Time, RequestId)>,
     models: [Model; 3], // time to 'read' at readers, wait for the first token at writers, time per token
@@ -272,12 +261,11 @@
     ends_at: Time, // this router ends, and no request lasts longer
     watching: bool,
     usual: f64,
-    spare: f64,                   // second copies and moves that may be made
-    home_match: Vec<f64>,         // per class: part of a prompt that its session's home was found to keep
-    recent: VecDeque<u64>,        // shared texts of the last requests
-    usual_load: [Counts; 2],      // told by servers that write, and by readers
-    quota: Vec<(f64, f64, Time)>, // per tenant: this router's part, what is left of it, since when
-    flow: [[f64; 2]; 3],          // by side, fading at each refit: FINISHED, BORNE, STARTED
+    spare: f64,              // second copies and moves that may be made
+    home_match: Vec<f64>,    // per class: part of a prompt that its session's home was found to keep
+    usual_load: [Counts; 2], // told by servers that write, and by readers
+    quotas: Vec<Quota>,      // per tenant: this router's part
+    flow: [[f64; 2]; 3],     // by side, fading at each refit: FINISHED, BORNE, STARTED
     salt: u64,
 }
 
@@ -297,7 +285,7 @@
             prior(Inputs::new(0.3 * pace, 0.03 * pace, 0.2 * pace, 0.0, 0.0), 0.2 * pace),
         ];
         Router {
-            quota: settings.tenants.iter().map(|it| (it.quota_per_s / share, QUOTA_BURST, now)).collect(),
+            quotas: settings.tenants.iter().map(|it| Quota::new(it.quota_per_s / share, now)).collect(),
             home_match: vec![HOME_MATCH; settings.classes.len()],
             settings,
             share,
@@ -306,6 +294,8 @@
             now,
             out: Vec::new(),
             servers: BTreeMap::new(),
+            candidates: Candidates::default(),
+            prefixes: Prefixes::default(),
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
             models,
@@ -315,16 +305,21 @@
             watching: false,
             usual: 0.0,
             spare: SPARE_MOST,
-            recent: VecDeque::new(),
             usual_load: Default::default(),
             flow: Default::default(),
             salt: mix(seed, 0),
         }
     }
 
+    /// Looks at all servers in fleets of up to so many, and in larger ones at some: for comparisons.
+    pub fn look_at_all_up_to(&mut self, servers: usize) {
+        self.candidates.look_at_all_up_to(servers);
+    }
+
     /// Hears one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now.max(self.now);
+        self.candidates.pass(self.now);
         match event {
             Event::Members { complete, entries } => self.members(complete, entries),
             Event::Settings(settings) => self.changed(settings),
@@ -391,15 +386,25 @@
     }
 
     fn members(&mut self, complete: bool, entries: Vec<Entry>) {
-        self.servers.values_mut().filter(|_| complete).for_each(|it| it.entry.state = State::Gone);
+        self.servers.values_mut().take_while(|_| complete).for_each(|it| it.entry.state = State::Gone);
         for entry in entries {
             let mut old = self.servers.remove(&entry.server).unwrap_or_default();
             if old.entry.started != entry.started {
                 // A restarted server is a new one, but for what this router still has out there.
                 old = Server { own: old.own, waiting: old.waiting, sent: old.sent, ..Server::default() };
+                self.prefixes.forget_server(entry.server);
             }
+            self.candidates.list(self.now, &entry, self.settings.warm_within);
             self.servers.insert(entry.server, Server { entry, ..old });
         }
+        if complete {
+            self.list_all();
+        }
+    }
+
+    fn list_all(&mut self) {
+        let (now, warm_within) = (self.now, self.settings.warm_within);
+        self.servers.values().for_each(|it| self.candidates.list(now, &it.entry, warm_within));
     }
 
     /// New settings; what was learned stays. Requests under way have their class by its number.
@@ -407,16 +412,17 @@
         self.share = f64::from(settings.balancers.max(1));
         self.pause = least(&settings, |it| it.aim);
         self.home_match.resize(settings.classes.len(), HOME_MATCH);
-        let old = |at: usize| self.quota.get(at).map_or((QUOTA_BURST, self.now), |it| (it.1, it.2));
-        let tenants = settings.tenants.iter().enumerate();
-        self.quota = tenants.map(|(at, it)| (it.quota_per_s / self.share, old(at).0, old(at).1)).collect();
+        self.quotas.resize(settings.tenants.len(), Quota::new(0.0, self.now));
+        let quotas = self.quotas.iter_mut().zip(&settings.tenants);
+        quotas.for_each(|(quota, tenant)| quota.set_rate(tenant.quota_per_s / self.share));
         self.settings = settings;
+        self.list_all();
     }
 
     fn told_load(&mut self, id: ServerId, load: Option<Load>) {
         let (Some(server), Some(load)) = (self.servers.get_mut(&id), load) else { return };
-        server.told =
-            [load.in_flight, load.to_read, load.memory].map(|told| told.filter(|x| (0.0..1e6).contains(x)));
+        let told = [load.in_flight, load.to_read, load.memory];
+        server.told = told.map(|told| told.filter(|it| (0.0..1e6).contains(it)));
         (server.told_at, server.own_then) = (Some(self.now), server.own);
         let usual = &mut self.usual_load[usize::from(server.entry.role == Role::Reader)];
         let told = usual.iter_mut().zip(server.told);
@@ -448,27 +454,22 @@
         let end_at = self.now.saturating_add(ask.expires_in).saturating_sub(2 * self.settings.tick);
         self.spare = (self.spare + SPARE_PER_REQUEST).min(SPARE_MOST);
         let (end_at, aim_at) = (end_at.min(self.ends_at), aim_at.min(end_at).min(self.ends_at));
-        self.recent.push_back(ask.prefix.unwrap_or(0));
-        self.recent.drain(..self.recent.len().saturating_sub(RECENT));
+        self.prefixes.arrived(&ask);
         self.requests.insert(id, Request { ask, end_at, aim, aim_at, worth, ..Request::default() });
         self.with(id, Self::place);
     }
 
     fn over_share(&mut self, tenant: Option<usize>) -> bool {
-        let Some((rate, left, at)) = self.quota.get_mut(tenant.unwrap_or(usize::MAX)) else { return false };
-        *left = (*left + *rate * seconds(self.now - *at)).min(*rate * QUOTA_BURST + 1.0);
-        *at = self.now;
-        let over = *rate > 0.0 && *left < 1.0;
-        *left -= f64::from(u8::from(!over));
-        over
+        let quota = tenant.and_then(|tenant| self.quotas.get_mut(tenant));
+        quota.is_some_and(|quota| quota.is_exceeded(self.now))
     }
 
     /// The final answer, where none was given: a refusal where that is true, else a failure.
     fn end(&mut self, request: &mut Request) {
         self.cancel_all(request, |_| true);
         let (id, retry_after) = (request.ask.id, self.pause.min(self.settings.max_retry_after));
-        let _ =
-            self.act(request, Action::Refuse { id, retry_after }) || self.act(request, Action::Fail { id });
+        let refuse = Action::Refuse { id, retry_after };
+        let _ = self.act(request, refuse) || self.act(request, Action::Fail { id });
     }
 
     fn cancel_all(&mut self, request: &mut Request, useless: impl Fn(&Attempt) -> bool) {
@@ -497,16 +498,16 @@
         health.pauses = 0;
         let took = seconds(self.now.saturating_sub(attempt.sent));
         let side = side(attempt.stage);
-        let model = &mut self.models[side];
+        let model = &mut self.models[side as usize];
         let warm = server.warm_share(&self.settings, self.now);
         let ratio = (took * warm + model.spread) / (model.predict(inputs) + model.spread).max(1e-6);
         blend(&mut server.slower, ratio.clamp(0.2, 10.0) - 1.0);
         if warm >= 1.0 {
             model.learn(inputs, took);
         }
-        let (bearing, any_warm) = self.bearing(attempt.stage);
-        self.flow[BORNE][side] += if warm >= 1.0 || !any_warm { 1.0 / bearing } else { 0.0 };
-        self.flow[FINISHED][side] += 1.0;
+        let (bearing, any_warm) = self.candidates.bearing(side);
+        self.flow[BORNE][side as usize] += if warm >= 1.0 || !any_warm { 1.0 / bearing } else { 0.0 };
+        self.flow[FINISHED][side as usize] += 1.0;
     }
 
     fn outcome(&mut self, request: &mut Request, at: usize, status: Status, closed: bool, note: f64) {
@@ -564,24 +565,13 @@
         self.place(request);
     }
 
-    /// Notes what a reader has read in its table, and corrects what homes are presumed to keep. No more is
-    /// noted than fits into a part of the memory: a full reader lets the oldest go.
+    /// Notes what a reader has read, and corrects what homes are presumed to keep.
     fn note_kept(&mut self, ask: &Ask, attempt: &Attempt, found: f64) {
-        let Some(server) = self.servers.get_mut(&attempt.choice.server) else { return };
+        let Some(server) = self.servers.get(&attempt.choice.server) else { return };
         if attempt.choice.matched > ask.prefix_tokens / ask.prompt.max(1.0) {
             blend(&mut self.home_match[ask.class], found / ask.prompt.max(1.0));
         }
-        let shared = if ask.prefix.is_some() { ask.prefix_tokens } else { 0.0 };
-        let (at, own) = (self.now, (ask.prompt - shared).max(0.0));
-        let texts = [(ask.prefix, shared, shared), (ask.session, ask.prompt, own)].into_iter();
-        let noted = texts.filter_map(|(text, tokens, own)| Some((text?, Kept { tokens, own, at })));
-        server.kept.extend(noted);
-        let mut over = server.kept.values().map(|kept| kept.own).sum::<f64>() - ROOM * server.entry.memory;
-        while over > 0.0 && server.entry.memory > 0.0 {
-            let oldest = server.kept.iter().min_by_key(|(_, kept)| kept.at).map(|(text, _)| *text);
-            let Some(oldest) = oldest.and_then(|text| server.kept.remove(&text)) else { break };
-            over -= oldest.own;
-        }
+        self.prefixes.note(self.now, server.entry.server, ROOM * server.entry.memory, ask);
     }
 
     /// An answer has ended well: learns the pace from its length, as far as that is told.
@@ -595,10 +585,9 @@
     }
 
     fn tokens(&self, ask: &Ask) -> f64 {
-        match (ask.hint, self.settings.classes[ask.class].token_aim) {
-            (Some(hint), aim) if hint > 0 && aim > 0 => hint as f64 / aim as f64,
-            _ => ask.max_tokens * ANSWER_PART,
-        }
+        let aim = self.settings.classes[ask.class].token_aim;
+        let hint = ask.hint.filter(|hint| *hint > 0 && aim > 0).map(|hint| hint as f64 / aim as f64);
+        hint.unwrap_or(ask.max_tokens * ANSWER_PART)
     }
 
     fn place(&mut self, request: &mut Request) {
@@ -612,25 +601,34 @@
         if held_too_long || request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
             return self.end(request);
         }
-        request.homes = self.homes(&request.ask);
-        let mut choices = match request.state_at {
-            Some(reader) => self.writers(request, self.servers.get(&reader)),
-            None => self.readers(request),
-        };
+        request.homes = self.homes(request);
+        let mut choices = self.choices(request);
+        if !choices.iter().any(|it| it.chance >= FIT) && !self.looks_at_all(request) {
+            request.widened += 1;
+            choices = self.choices(request);
+        }
         request.retry_at = self.now + self.asking(request);
+        if choices.is_empty() && request.widened > 0 && self.looks_at_all(request) {
+            // All in vain, which is much work: lots are drawn anew before long.
+            (request.retry_at, request.widened) = (self.now + self.settings.fall / 8, 0);
+        }
         if self.asks_first(request, &choices) {
             return;
         }
         if request.state_at.is_none() {
-            if self.refuses(request, &choices) {
-                return self.end(request);
+            while self.refuses(request, &choices) {
+                if self.looks_at_all(request) {
+                    return self.end(request);
+                }
+                request.widened = u32::MAX; // none is refused that a server not looked at would serve
+                choices = self.choices(request);
             }
             choices = self.warm_only(choices, request);
         }
-        // A lot that lets a request go to a cold server is drawn in proportion: it is used where that one
-        // fits, or the rest would jam. Where routers are few a ration is counted, and tells not what to send.
+        // A lot that is won at a cold server that fits is used, or the rest would jam; rations need not be.
         let lots = request.homes.is_empty() || request.state_at.is_some();
-        let rationed = |it: &Choice| it.chance >= FIT && self.is_cold(&self.servers[&it.server]);
+        let rationed =
+            |it: &Choice| it.chance >= FIT && self.servers[&it.server].age(&self.settings, self.now) < 1.0;
         if self.share >= FEW && lots && choices.iter().any(rationed) {
             choices.retain(rationed);
         }
@@ -640,6 +638,15 @@
         self.send(request, stage, choice);
     }
 
+    fn choices(&self, request: &Request) -> Vec<Choice> {
+        let reader = request.state_at.map(|reader| self.servers.get(&reader));
+        reader.map_or_else(|| self.readers(request), |reader| self.writers(request, reader))
+    }
+
+    fn looks_at_all(&self, request: &Request) -> bool {
+        self.candidates.is_whole(Side::of(request.state_at.is_some()), &self.look(request))
+    }
+
     /// Asks likely servers for their load before the choice; true while it waits for answers.
     fn asks_first(&mut self, request: &mut Request, choices: &[Choice]) -> bool {
         if request.asked.is_none() && self.settings.may_probe && self.settings.reports != Reports::Never {
@@ -683,74 +690,80 @@
     }
 
     fn readers(&self, request: &Request) -> Vec<Choice> {
-        let open = self.open(request, Stage::Read, |role| role != Role::Writer);
-        // The writer that would be best after each reader: seconds to the first token there, and its chance.
-        let mut later = BTreeMap::new();
-        let mut after = |at: &Server| match at.entry.role {
-            Role::Reader => *later.entry(at.entry.cell).or_insert_with(|| {
-                let writers = self.writers(request, Some(at)).into_iter();
-                let best = writers.max_by(|a, b| a.chance.total_cmp(&b.chance));
-                best.map_or((0.0, FIT), |best| (best.predicted, best.chance))
-            }),
-            _ => (0.0, 1.0),
+        let look = self.look(request);
+        let mut likely = self.prefixes.holders(&request.ask, look.seed);
+        likely.extend(request.homes.keys());
+        let open = self.open(request, Stage::Read, self.candidates.readers(&look, likely));
+        let reads = |it: &&&Server| it.entry.role == Role::Reader;
+        let later = self.best_writers(request, open.iter().filter(reads).map(|it| it.entry.cell).collect());
+        let choice = |it: &Server| {
+            let after = later.get(&it.entry.cell).filter(|_| reads(&&it)).copied().unwrap_or((0.0, 1.0));
+            let home = request.homes.get(&it.entry.server).copied().unwrap_or(0.0);
+            self.reader_choice(request, it, home, after)
         };
-        let home = |server: &Server| request.homes.get(&server.entry.server).copied().unwrap_or(0.0);
-        open.into_iter().map(|it| self.reader_choice(request, it, home(it), after(it))).collect()
+        open.into_iter().map(choice).collect()
     }
 
-    /// Tokens that readers are presumed to keep of a prompt, where the table can't know: all routers rank the
-    /// readers alike by a hash of the text, so that it comes back to the same, and a session to one of them.
-    /// A cold one is home to what it can take. A zone with too few readers has further homes in the others.
-    fn homes(&self, ask: &Ask) -> BTreeMap<ServerId, f64> {
-        let rank = |text, it: &Server| {
-            let even = (mix(text, it.entry.key) >> 12) as f64 + 0.5;
-            it.warm_share(&self.settings, self.now).powf(COLD_HOME) / (((1u64 << 52) as f64).ln() - even.ln())
+    /// The best writer after a reader of each cell: seconds to the first token there, and its chance.
+    fn best_writers(&self, request: &Request, cells: BTreeSet<u32>) -> BTreeMap<u32, (f64, f64)> {
+        let writers = self.open_writers(request, &cells);
+        let told = |at: usize, far| {
+            let choice = self.writer_choice(request, writers[at], far);
+            (choice.chance, at, choice.predicted)
         };
-        let reads = |it: &&Server| it.entry.state == State::Ready && it.entry.role != Role::Writer;
-        let readers = self.servers.values().filter(reads);
-        let (mut homes, mut far) = readers.partition::<Vec<_>, _>(|it| it.entry.zone == self.settings.zone);
-        far.retain(|_| homes.len() < HOMES_LEAST as usize); // else none is wanted, and ranking them is work
-        if let Some(prefix) = ask.prefix {
-            let sort = |it: &mut Vec<&Server>| it.sort_by(|a, b| rank(prefix, b).total_cmp(&rank(prefix, a)));
-            [&mut homes, &mut far].into_iter().for_each(sort);
-            let share = self.recent.iter().filter(|it| **it == prefix).count() as f64 / RECENT as f64;
-            homes.truncate((HOMES_LEAST + HOMES_SPREAD * share * homes.len() as f64) as usize);
-            far.truncate((HOMES_LEAST as usize).saturating_sub(homes.len()));
-        }
-        let own = if homes.is_empty() { &far } else { &homes };
-        let session = |text| own.iter().max_by(|a, b| rank(text, a).total_cmp(&rank(text, b)));
+        let better = |a: &(f64, usize, f64), b: &(f64, usize, f64)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        let mut far: Vec<_> = (0..writers.len()).map(|at| told(at, true)).collect();
+        far.sort_by(|a, b| better(b, a));
+        let mut near: BTreeMap<u32, Vec<usize>> = BTreeMap::new();
+        writers.iter().enumerate().for_each(|(at, it)| near.entry(it.entry.cell).or_default().push(at));
+        let best = |cell: u32| {
+            let far = far.iter().find(|it| writers[it.1].entry.cell != cell).copied();
+            let near = near.get(&cell).into_iter().flatten().map(|at| told(*at, false));
+            near.chain(far).max_by(better).map_or((0.0, FIT), |best| (best.2, best.0))
+        };
+        cells.iter().map(|cell| (*cell, best(*cell))).collect()
+    }
+
+    /// Tokens that readers are presumed to keep of a prompt, where the table can't know.
+    fn homes(&self, request: &Request) -> BTreeMap<ServerId, f64> {
+        let ask = &request.ask;
+        let share = self.prefixes.share(ask);
+        let warm = |it| self.servers.get(&it).map_or(0.0, |it| it.warm_share(&self.settings, self.now));
+        let (shared, own) = self.candidates.homes(&self.look(request), ask.prefix, ask.session, share, warm);
         let whole = (self.home_match[ask.class] * ask.prompt).max(ask.prefix_tokens);
-        let first = ask.session.and_then(session).map(|it| (it.entry.server, whole));
-        let shared = homes.iter().chain(&far).map(|it| (it.entry.server, ask.prefix_tokens));
-        shared.chain(first).filter(|(_, tokens)| *tokens > 0.0).collect()
+        let shared = shared.into_iter().map(|it| (it, ask.prefix_tokens));
+        shared.chain(own.map(|it| (it, whole))).filter(|(_, tokens)| *tokens > 0.0).collect()
     }
 
     fn reader_choice(&self, request: &Request, server: &Server, home: f64, after: (f64, f64)) -> Choice {
-        let kept = server.kept_of(&request.ask).max(home.min(request.ask.prompt));
+        let kept = self.prefixes.kept(&request.ask, server.entry.server).max(home.min(request.ask.prompt));
         let matched = kept / request.ask.prompt.max(1.0);
-        let [in_flight, to_read, memory] = [REQUESTS, TO_READ, MEMORY].map(|of| self.level(server, of));
-        let inputs =
-            Inputs::new(1.0, memory, (request.ask.prompt - kept) / 1000.0, in_flight / 10.0, to_read);
+        let [running, to_read, memory] = [REQUESTS, TO_READ, MEMORY].map(|of| self.level(server, of));
+        let inputs = Inputs::new(1.0, memory, (request.ask.prompt - kept) / 1000.0, running / 10.0, to_read);
         let judged = self.judge(request, server, READ, inputs, after.0 + MARGIN * request.aim);
         let chance = judged.chance * (after.1 / FIT).min(1.0);
         let mut choice = Choice { kept, matched, chance, ..judged };
         if self.models[READ].samples < ENOUGH {
-            choice.headroom = 1.0 + matched - memory - (in_flight + to_read) / 10.0;
+            choice.headroom = 1.0 + matched - memory - (running + to_read) / 10.0;
         }
         choice
     }
 
     fn writers(&self, request: &Request, reader: Option<&Server>) -> Vec<Choice> {
-        let open = self.open(request, Stage::Write, |role| role != Role::Reader);
-        open.into_iter().map(|server| self.writer_choice(request, server, reader)).collect()
+        let cell = reader.map(|reader| reader.entry.cell);
+        let far = |it: &Server| cell.is_some_and(|cell| cell != it.entry.cell);
+        let open = self.open_writers(request, &cell.into_iter().collect()).into_iter();
+        open.map(|server| self.writer_choice(request, server, far(server))).collect()
+    }
+
+    fn open_writers(&self, request: &Request, cells: &BTreeSet<u32>) -> Vec<&Server> {
+        self.open(request, Stage::Write, self.candidates.writers(&self.look(request), cells))
     }
 
-    fn writer_choice(&self, request: &Request, server: &Server, reader: Option<&Server>) -> Choice {
+    fn writer_choice(&self, request: &Request, server: &Server, far: bool) -> Choice {
         let [running, to_fetch, memory] = [REQUESTS, TO_READ, MEMORY].map(|of| self.level(server, of));
-        let far = reader.is_some_and(|reader| reader.entry.cell != server.entry.cell);
         let prompt = request.ask.prompt / 1000.0;
-        let inputs =
-            Inputs::new(1.0, running / 10.0, memory, if far { prompt } else { 0.0 }, prompt + to_fetch);
+        let inputs = Inputs::new(1.0, running / 10.0, memory, prompt * f64::from(far), prompt + to_fetch);
         // What its memory can't take waits until running answers end; how full it is, is known in part.
         let (tokens, pace) = (self.tokens(&request.ask), self.models[PACE].predict(&inputs));
         let over = (memory + server.part_of_memory(request.ask.prompt + tokens) - 1.0) / MEMORY_SPREAD;
@@ -804,10 +817,14 @@
         (trust * (told + own - server.own_then[of]) + (1.0 - trust) * guess).max(own)
     }
 
-    /// Servers that may be sent this request now: well before set aside or on trial, new before tried.
-    fn open(&self, request: &Request, stage: Stage, fits: impl Fn(Role) -> bool) -> Vec<&Server> {
-        let allowed = self.servers.values().filter(|server| fits(server.entry.role));
-        let allowed: Vec<_> = allowed.filter(|server| self.may_send(request, server, stage)).collect();
+    fn look(&self, request: &Request) -> Look {
+        Look { zone: self.settings.zone, seed: request.ask.id ^ self.salt, widened: request.widened }
+    }
+
+    /// Those of these that may be sent this request now: well before set aside or on trial, new before tried.
+    fn open(&self, request: &Request, stage: Stage, servers: Vec<ServerId>) -> Vec<&Server> {
+        let servers = servers.iter().filter_map(|it| self.servers.get(it));
+        let allowed: Vec<_> = servers.filter(|server| self.may_send(request, server, stage)).collect();
         let last = |server: &&Server| {
             let silent = server.asked_at.is_some_and(|at| at + self.asking(request) <= self.now);
             let tried = |it: &Attempt| it.choice.server == server.entry.server && it.stage == stage;
@@ -827,9 +844,8 @@
         let most = choices.iter().map(|choice| choice.matched).fold(0.0, f64::max);
         let least = WARM_MATCH * if (SOME_MATCH..WARM_MATCH).contains(&most) { most } else { 1.0 };
         let warm = choices.iter().filter(|choice| choice.matched > least).min_by(sooner);
-        let (late, best) = (TRAILING * request.aim, warm.zip(choices.iter().min_by(sooner)));
-        let stays =
-            best.is_some_and(|(warm, any)| warm.predicted <= any.predicted + late || any.chance < EASY);
+        let (gap, best) = (TRAILING * request.aim, warm.zip(choices.iter().min_by(sooner)));
+        let stays = best.is_some_and(|it| it.0.predicted <= it.1.predicted + gap || it.1.chance < EASY);
         if self.rng.gen::<f64>() >= EXPLORE && stays {
             choices.retain(|choice| choice.matched > least);
         }
@@ -857,7 +873,8 @@
         let work = [1.0, (request.ask.prompt - choice.kept) / 1000.0, to.part_of_memory(held)];
         add(&mut to.own, &work, 1.0);
         to.waiting.insert((id, request.attempts.len()), (sent, choice.predicted, request.ask.class));
-        self.flow[STARTED][side(stage)] += 1.0;
+        self.flow[STARTED][side(stage) as usize] += 1.0;
+        request.widened = 0;
         // Not harmless yet, reads neither: while one is out, nothing proves that it had no effect.
         request.attempts.push(Attempt { choice, stage, sent, work, out: true, ..Attempt::default() });
         self.out.push(Action::Send { id, server, timeout: request.end_at.saturating_sub(sent) });
@@ -889,39 +906,27 @@
     }
 
     /// A cold server gets this router's part of what it can take in any span of the rule's length, by what
-    /// the warm ones bear for this router: the count of routers cancels out. A part of one send is drawn by
-    /// lot, lest a hundred routers make a hundred sends of it, and by each request anew: where requests are
-    /// few, a lot that holds for a span mostly lapses, and the cold ones stand idle while the rest jams.
+    /// the warm ones bear for this router; a part of one send is drawn by lot (docs/candidates.md).
     fn cold_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        if !self.is_cold(server) {
+        if server.age(&self.settings, self.now) >= 1.0 {
             return true;
         }
         let since = self.now.saturating_sub(self.settings.fall);
         let sent = server.sent.iter().filter(|at| **at >= since).count() as f64;
         let span = NEWEST * self.settings.fall as f64 / REFIT as f64;
         let able = self.settings.fall_multiple * self.settings.cold_from * span;
-        let bearing = self.bearing(stage).0;
+        let (side, to) = (side(stage), server.entry.server);
+        let bearing = self.candidates.bearing(side).0;
         // One that waits draws again after each span. Texts draw none: a cold reader is home to its part.
         let times = request.end_at.saturating_sub(self.now) / self.settings.fall.max(1);
-        let drawn = mix(mix(request.ask.id ^ self.salt, times), server.entry.server.into());
-        let home = u64::from(!request.homes.contains_key(&server.entry.server)) * u64::MAX;
+        let drawn = mix(mix(request.ask.id ^ self.salt, times), to.into());
+        let home = u64::from(!request.homes.contains_key(&to)) * u64::MAX;
         let lot = if stage == Stage::Write || request.homes.is_empty() { drawn } else { home };
-        let lot = lot as f64 / u64::MAX as f64 * span * (self.flow[STARTED][side(stage)] + 1.0);
-        let part = COLD_PART * able * (self.flow[BORNE][side(stage)] + 1.0 / bearing);
-        sent + 1.0 <= able * self.flow[FINISHED][side(stage)] / bearing || lot < part - sent
-    }
-
-    fn is_cold(&self, server: &Server) -> bool {
-        server.age(&self.settings, self.now) < 1.0
-    }
-
-    /// Ready servers that bear a stage's load: the warm ones, or where there are none all; and which of both.
-    fn bearing(&self, stage: Stage) -> (f64, bool) {
-        let spared = if stage == Stage::Write { Role::Reader } else { Role::Writer };
-        let ready = |it: &&Server| it.entry.state == State::Ready && it.entry.role != spared;
-        let warm = self.servers.values().filter(ready).filter(|it| !self.is_cold(it)).count();
-        let ready = self.servers.values().filter(ready).count().max(1);
-        (if warm > 0 { warm } else { ready } as f64, warm > 0)
+        let factor = self.candidates.lot_factor(side, &self.look(request), to);
+        let flow = self.flow.map(|it| it[side as usize]);
+        let lot = lot as f64 / u64::MAX as f64 * factor * span * (flow[STARTED] + 1.0);
+        let part = COLD_PART * able * (flow[BORNE] + 1.0 / bearing);
+        sent + 1.0 <= able * flow[FINISHED] / bearing || lot < part - sent
     }
 
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
@@ -953,7 +958,8 @@
     }
 
     fn check_at(&self, attempt: &Attempt) -> Time {
-        let (predicted, spread) = (attempt.choice.predicted, self.models[side(attempt.stage)].spread);
+        let predicted = attempt.choice.predicted;
+        let spread = self.models[side(attempt.stage) as usize].spread;
         let limit = (predicted + OVERDUE_SPREADS * spread).max(predicted * OVERDUE_MULTIPLE);
         let never = u64::from(!attempt.out || attempt.stage == Stage::Whole) * Time::MAX;
         (attempt.sent + ((limit * 1e6) as Time).max(self.settings.tick)).max(attempt.check_at).max(never)
@@ -1004,19 +1010,15 @@
         for server in self.servers.values_mut() {
             server.sent.retain(|at| *at + self.settings.fall >= self.now);
             server.health.values_mut().for_each(|it| it.failing *= 1.0 - NEWEST);
-            server.kept.retain(|_, kept| kept.at + KEPT_AIMS * self.pause > self.now);
         }
-        self.servers.retain(|_, server| server.entry.state != State::Gone || server.own[REQUESTS] > 0.0);
-    }
-}
-
-/// Scatters a text's key and a server's evenly.
-fn mix(text: u64, server: u64) -> u64 {
-    let mut mixed = text ^ server.rotate_left(32);
-    for _ in 0..2 {
-        mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        self.prefixes.forget(self.now.saturating_sub(KEPT_AIMS * self.pause));
+        let over = |it: &Server| it.entry.state == State::Gone && it.own[REQUESTS] <= 0.0;
+        self.servers
+            .values()
+            .filter(|it| over(it))
+            .for_each(|it| self.prefixes.forget_server(it.entry.server));
+        self.servers.retain(|_, server| !over(server));
     }
-    mixed ^ (mixed >> 29)
 }
 
 /// The logistic function: even odds at 0.
--- /dev/null
+++ b/tests/large.rs
@@ -0,0 +1,107 @@
+//! The module in fleets that are too large for all servers to be looked at.
+
+mod common;
+use common::*;
+use quartzhall::api::*;
+
+const READERS: ServerId = 200;
+const WRITERS: ServerId = 400;
+const FIRST_WRITER: ServerId = 1_000;
+
+/// Readers in cells of their own, and writers in cells of four.
+fn fleet() -> Vec<Entry> {
+    let readers = (0..READERS).map(|id| Entry { cell: id, ..server(id, Role::Reader) });
+    let writers =
+        (0..WRITERS).map(|at| Entry { cell: cell_of(at), ..server(FIRST_WRITER + at, Role::Writer) });
+    readers.chain(writers).collect()
+}
+
+fn cell_of(writer: ServerId) -> u32 {
+    FIRST_WRITER + writer / 4
+}
+
+/// What may have run in one cell may only be sent again there, and the writer that had it drains. A first look has writers
+/// that are drawn, seldom one of the three that are left: looks are widened until one is found, while the state is held.
+#[test]
+fn a_server_that_no_first_look_has_is_found() {
+    for seed in 0..10 {
+        let keyed = Effect::Keyed { group: Group::Cell, window: 3 * SECOND };
+        let mut desk = Desk::seeded(settings(vec![class(1.0, keyed)]), fleet(), seed);
+        let actions = desk.ask(ask(1, seed));
+        let reader = sent_to(&actions, 1).expect("it is read");
+        desk.pass(20 * MS);
+        let actions = desk.outcome(1, 0, reader, Status::Read);
+        let first = sent_to(&actions, 1).expect("it is written");
+        desk.pass(5 * MS);
+        let drains = Entry {
+            state: State::Draining,
+            cell: cell_of(first - FIRST_WRITER),
+            ..server(first, Role::Writer)
+        };
+        desk.hear(Event::Members { complete: false, entries: vec![drains] });
+        let mut actions = desk.outcome(1, 1, first, Status::Reset);
+        actions.extend(desk.pass(200 * MS));
+        let second = sent_to(&actions, 1).expect("it is sent again, in time");
+        assert_eq!(cell_of(second - FIRST_WRITER), cell_of(first - FIRST_WRITER), "seed {seed}");
+        assert_eq!(finals(&actions, 1), 0);
+    }
+}
+
+/// All readers but one are jammed. A request is not refused by what a first look shows, and goes to that one.
+#[test]
+fn nothing_is_refused_that_a_server_not_looked_at_would_serve() {
+    for seed in 0..10 {
+        let mut desk = Desk::seeded(settings(vec![class(1.0, Effect::Safe)]), fleet(), seed);
+        for id in 1..=40 {
+            desk.serve(ask(id, 1_000 * id), 200 * MS, 10 * MS, 50 * MS);
+        }
+        let idle = (seed * 17 + 3) as ServerId % READERS;
+        for server in 0..READERS {
+            let part = if server == idle { 0.0 } else { 1.0 };
+            let load =
+                Load { in_flight: Some(400.0 * part), to_read: Some(4_000.0 * part), ..Load::default() };
+            desk.hear(Event::Heard { server, load: Some(load) });
+        }
+        let actions = desk.ask(ask(100, 7_777 + seed));
+        assert_eq!((sent_to(&actions, 100), finals(&actions, 100)), (Some(idle), 0), "seed {seed}");
+    }
+}
+
+/// Whatever joins, leaves, drains or moves: nothing is sent to a server that is not in the list as ready.
+#[test]
+fn nothing_is_sent_to_what_has_left() {
+    let mut desk = Desk::new(settings(vec![class(1.0, Effect::Safe)]), fleet());
+    let mut left = std::collections::BTreeSet::new();
+    for step in 0..300_u32 {
+        let changes = (0..12).map(|number| {
+            let at = (step * 37 + number * 61) % (READERS + WRITERS);
+            let id = if at < READERS { at } else { FIRST_WRITER + at - READERS };
+            let role = if at < READERS { Role::Reader } else { Role::Writer };
+            let state = [State::Ready, State::Draining, State::Gone][(step + number) as usize % 3];
+            match state {
+                State::Ready => left.remove(&id),
+                _ => left.insert(id),
+            };
+            Entry { state, cell: (step + number) % 50, zone: step % 2, ..server(id, role) }
+        });
+        let entries: Vec<Entry> = changes.collect();
+        // The last word on a server is the one that counts.
+        for entry in &entries {
+            match entry.state {
+                State::Ready => left.remove(&entry.server),
+                _ => left.insert(entry.server),
+            };
+        }
+        desk.hear(Event::Members { complete: false, entries });
+        let id = u64::from(step) + 1;
+        let sends = desk.ask(ask(id, id));
+        let reader = sent_to(&sends, id).expect("a reader is left");
+        assert!(!left.contains(&reader), "step {step}");
+        desk.pass(10 * MS);
+        let sends = desk.outcome(id, 0, reader, Status::Read);
+        let writer = sent_to(&sends, id).expect("a writer is left");
+        assert!(!left.contains(&writer), "step {step}");
+        desk.hear(Event::First { id, attempt: 1 });
+        desk.outcome(id, 1, writer, Status::Ok);
+    }
+}
