--- /dev/null
+++ b/crates/scale/src/core_steps.rs
@@ -0,0 +1,232 @@
+//! The cost of the core's steps against the size of the fleet: lists, messages of other dispatchers, leases, sweeps.
+
+use crate::config::{self, Addresses};
+use crate::fleet::{self, Shape};
+use crate::results::{Cost, StepCosts};
+use crate::scenario::Scenario;
+use crate::world::UNITS_PER_MICROSECOND;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use quartzhall::api::{Ask, Entry, Load, ServerId, State, Status, Time};
+use quartzhall::dispatch::{Answer, Command, Core, Event, Member, Work};
+use quartzhall::hearsay::Hearsay;
+use quartzhall::settings::{hash, Config, Site};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use slog::{o, Discard, Logger};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::{mpsc, oneshot};
+
+const MS: Time = 1_000;
+/// Each step is measured so often.
+const TURNS: usize = 200;
+/// Streams that are open at one dispatcher at the target's peak: 58.5 requests a second of 10 s.
+const OPEN_STREAMS: u64 = 585;
+/// Requests that a dispatcher without load reports earns its talk by, before each message.
+const EARNED_BY: usize = 50;
+
+type Costs = BTreeMap<String, Histogram<u64>>;
+
+/// A core before a fleet, with what its steps have cost.
+pub struct Bench {
+    core: Core,
+    now: Time,
+    costs: Costs,
+    entries: Vec<Entry>,
+    answers: Vec<oneshot::Receiver<Answer>>, // clients wait for them, and take streams
+}
+
+/// The settings of a dispatcher in a fleet of so many.
+fn site(dispatchers: u32) -> Result<Site, String> {
+    let scenario = Scenario::parse(&format!(
+        "name = \"steps\"\nseconds = 1\n[fleet]\nreplicas = 100\nzones = 15\nrack = [4, 8]\nreaders = 0.25\n[dispatchers]\nreal = 1\ntold = {dispatchers}\nsockets = 1024\n[load]\nper_dispatcher = 1.0\nprompt = [1, 2]\nanswer = [1, 2]\n"
+    ))?;
+    let nowhere = || "127.0.0.1:1".to_owned();
+    let addresses =
+        Addresses { listen: nowhere(), discovery: nowhere(), peer_listen: nowhere(), peers_all: nowhere() };
+    let config = Config::parse(&config::text(&scenario, 0, 1, &addresses, &[]))?;
+    Site::new(&config.settings)
+}
+
+fn name(entry: &Entry) -> String {
+    format!("replica-{}", entry.server)
+}
+
+fn member(entry: &Entry) -> Member {
+    let [_, _, high, low] = (entry.cell + 1).to_be_bytes();
+    let address = format!("127.1.{high}.{low}:{}", 10_000 + entry.server);
+    Member { name: name(entry).into(), address: address.into(), entry: entry.clone(), partial: false }
+}
+
+impl Bench {
+    fn time(&mut self, step: &str, event: Event) -> Vec<Command> {
+        let began = Instant::now();
+        self.core.hear(self.now, event);
+        let commands = self.core.commands();
+        self.record(step, began);
+        commands
+    }
+
+    fn record(&mut self, step: &str, began: Instant) {
+        let took = began.elapsed().as_nanos() as f64 / 1e3 * UNITS_PER_MICROSECOND;
+        let Ok(empty) = Histogram::new(3) else { return };
+        let _ = self.costs.entry(step.to_owned()).or_insert(empty).record(took as u64);
+    }
+
+    fn members(&self, complete: bool, which: &[usize]) -> Event {
+        Event::Members { complete, members: which.iter().map(|at| member(&self.entries[*at])).collect() }
+    }
+
+    /// A core that has heard of no replica yet.
+    pub fn new(replicas: usize, dispatchers: u32, seed: u64) -> Result<Bench, String> {
+        let now = 1_700_000_000_000_000;
+        let entries = fleet::draw(&Shape::of(replicas), now, &mut Pcg32::seed_from_u64(seed));
+        let site = Arc::new(site(dispatchers)?);
+        let core = Core::new(site, 4_096, seed, now, Logger::root(Discard, o!()));
+        Ok(Bench { core, now, costs: Costs::new(), entries, answers: Vec::new() })
+    }
+
+    /// It hears of all replicas.
+    pub fn first_list(&mut self) {
+        let all: Vec<usize> = (0..self.entries.len()).collect();
+        let first = self.members(true, &all);
+        self.time("core: first list", first);
+    }
+
+    /// The whole list, and changes of one replica.
+    fn lists(&mut self, rng: &mut Pcg32) {
+        let all: Vec<usize> = (0..self.entries.len()).collect();
+        self.first_list();
+        for _ in 0..TURNS / 20 {
+            self.now += 100 * MS;
+            let list = self.members(true, &all);
+            self.time("core: whole list, unchanged", list);
+        }
+        for turn in 0..TURNS {
+            self.now += 100 * MS;
+            let at = rng.gen_range(0..self.entries.len());
+            for state in [State::Draining, State::Ready] {
+                self.entries[at].state = state;
+                let change = self.members(false, &[at]);
+                self.time("core: change of one replica", change);
+            }
+            self.now += turn as Time;
+        }
+    }
+
+    /// Messages that each tell of one replica's load.
+    fn messages(&mut self, dispatchers: u32, rng: &mut Pcg32) {
+        self.core.take_hearsay(Hearsay::new(dispatchers as usize, config::PEER_PRICE));
+        let mut other = Hearsay::new(dispatchers as usize, config::PEER_PRICE);
+        for turn in 0..TURNS {
+            self.now += 20 * MS;
+            (0..EARNED_BY).for_each(|_| other.request());
+            let at = rng.gen_range(0..self.entries.len());
+            let load = Load { in_flight: Some(50.0 + turn as f64), ..Load::default() };
+            other.report(self.now, at as u32, hash(&name(&self.entries[at])), &load);
+            let Some(message) = other.message(self.now) else { continue };
+            self.time("core: message heard", Event::Peer { from: 1, message: Bytes::from(message) });
+        }
+    }
+
+    /// A request; true when it was sent to a reader, if need be after the answers of servers that were asked first.
+    fn request(&mut self, id: u64) -> bool {
+        let ask = Ask {
+            id,
+            session: Some(id),
+            expires_in: 4_000 * MS,
+            prompt: 2_000.0,
+            max_tokens: 300.0,
+            ..Ask::default()
+        };
+        let work =
+            Work { name: format!("r{id}").into(), target: "/v1/chat/completions".into(), body: Bytes::new() };
+        let (answer, answered) = oneshot::channel();
+        self.answers.push(answered);
+        let mut commands = self.time("core: request", Event::Request { ask, work, answer });
+        let probed: Vec<_> = commands.iter().filter_map(probed).collect();
+        for server in probed {
+            let load = Some(Load { in_flight: Some(1.0), memory: Some(0.1), ..Load::default() });
+            commands.extend(self.time("core: probe's answer", Event::Probed { server, ok: true, load }));
+        }
+        let began = Instant::now();
+        self.now += 10 * MS; // by then answers are due
+        self.core.wake(self.now);
+        commands.extend(self.core.commands());
+        self.record("core: wake, a request is sent", began);
+        commands.iter().any(|it| matches!(it, Command::Send { id: sent, .. } if *sent == id))
+    }
+
+    /// Requests of which the client leaves when they are read: the state is let go.
+    pub fn read_and_leave(&mut self, first: u64, count: u64) {
+        for id in first..first + count {
+            self.now += MS;
+            if !self.request(id) {
+                continue;
+            }
+            let ended =
+                Event::Ended { id, attempt: 0, status: Status::Read, note: 0.0, written: 0.0, load: None };
+            self.time("core: read's end", ended);
+            self.time("core: client left, lease let go", Event::Gone { id, fate: None });
+            self.core.hear(self.now, Event::Released(id));
+        }
+    }
+
+    /// Looks over a table of open requests.
+    fn sweeps(&mut self) {
+        for _ in 0..TURNS {
+            self.now += 20 * MS;
+            let began = Instant::now();
+            self.core.wake(self.now);
+            self.core.commands();
+            self.record("core: wake with 585 streams", began);
+        }
+    }
+
+    /// Requests that are read, written, and stream on.
+    pub fn open_streams(&mut self, first: u64, count: u64) {
+        for id in first..first + count {
+            self.now += MS;
+            if !self.request(id) {
+                continue;
+            }
+            self.core.hear(
+                self.now,
+                Event::Ended { id, attempt: 0, status: Status::Read, note: 0.0, written: 0.0, load: None },
+            );
+            let stream = mpsc::channel(1).1;
+            self.core.hear(self.now, Event::First { id, attempt: 1, stream });
+            self.core.commands();
+        }
+    }
+}
+
+fn probed(command: &Command) -> Option<ServerId> {
+    match command {
+        Command::Probe { server, .. } => Some(*server),
+        _ => None,
+    }
+}
+
+/// Measures the core's steps before so many replicas.
+pub fn measure(replicas: usize, dispatchers: u32, seed: u64) -> Result<StepCosts, String> {
+    let mut rng = Pcg32::seed_from_u64(seed ^ 1);
+    let mut bench = Bench::new(replicas, dispatchers, seed)?;
+    bench.lists(&mut rng);
+    bench.messages(dispatchers, &mut rng);
+    bench.read_and_leave(1, TURNS as u64);
+    bench.open_streams(10_000, OPEN_STREAMS);
+    bench.sweeps();
+    let cost = |(step, histogram): (&String, &Histogram<u64>)| (step.clone(), Cost::of(histogram));
+    Ok(StepCosts {
+        replicas,
+        dispatchers,
+        cold: 0.0,
+        seed,
+        arrivals: TURNS,
+        finished: true,
+        steps: bench.costs.iter().map(cost).collect(),
+    })
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,6 +2,8 @@
 
 use clap::{Args, Parser, Subcommand};
 use quartzhall_scale::choice;
+use quartzhall_scale::core_steps;
+use quartzhall_scale::memory;
 use quartzhall_scale::results::{self, Run};
 use quartzhall_scale::run::{self, Plan};
 use quartzhall_scale::scenario::Scenario;
@@ -25,6 +27,10 @@
 enum Task {
     /// Measure what the module's steps cost against the size of the fleet.
     Steps(Steps),
+    /// Measure what the core's steps cost against the size of the fleet.
+    CoreSteps(CoreSteps),
+    /// Measure the memory of what the core holds.
+    Memory(Memory),
     /// Compare the worth of a choice among candidates with that of a choice among all servers.
     Choice(Choice),
     /// Play a scenario; exit code 1 where something that must hold does not.
@@ -35,6 +41,38 @@
     Table(Table),
 }
 
+#[derive(Args)]
+struct CoreSteps {
+    /// The file of results.
+    #[arg(long)]
+    out: PathBuf,
+    /// Replicas of the fleets.
+    #[arg(long, value_delimiter = ',', default_value = "100,300,1000,3000,11000")]
+    sizes: Vec<usize>,
+    /// Dispatchers that the settings tell of.
+    #[arg(long, default_value_t = 530)]
+    dispatchers: u32,
+    /// Each size is played once with each seed.
+    #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+    seeds: Vec<u64>,
+}
+
+#[derive(Args)]
+struct Memory {
+    /// The file of results.
+    #[arg(long)]
+    out: PathBuf,
+    /// Replicas of the fleet.
+    #[arg(long, default_value_t = 11000)]
+    replicas: usize,
+    /// Dispatchers that the settings tell of.
+    #[arg(long, default_value_t = 530)]
+    dispatchers: u32,
+    /// Draws the fleet.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
 #[derive(Args)]
 struct Choice {
     /// The file of results.
@@ -183,6 +221,18 @@
     keep(&task.out, all)
 }
 
+fn measure_core(task: &CoreSteps, log: &Logger) -> Result<(), String> {
+    let mut all = Vec::new();
+    for replicas in &task.sizes {
+        for seed in &task.seeds {
+            let costs = core_steps::measure(*replicas, task.dispatchers, *seed)?;
+            info!(log, "core steps"; "replicas" => replicas, "seed" => seed);
+            all.push(costs);
+        }
+    }
+    keep(&task.out, all)
+}
+
 fn compare_choices(task: &Choice, log: &Logger) -> Result<(), String> {
     let mut all = Vec::new();
     for replicas in &task.sizes {
@@ -215,6 +265,10 @@
 fn carry_out(arguments: &Arguments, log: &Logger) -> Result<(), Failure> {
     match &arguments.task {
         Task::Steps(task) => measure_steps(task, log).map_err(Failure::Input),
+        Task::CoreSteps(task) => measure_core(task, log).map_err(Failure::Input),
+        Task::Memory(task) => memory::measure(task.replicas, task.dispatchers, task.seed)
+            .and_then(|results| keep(&task.out, results))
+            .map_err(Failure::Input),
         Task::Choice(task) => compare_choices(task, log).map_err(Failure::Input),
         Task::Run(task) => {
             let scenario = Scenario::read(&task.scenario).map_err(Failure::Input)?;
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -17,6 +17,19 @@
     pub mean_us: f64,
 }
 
+impl Cost {
+    /// Of a histogram in the unit of [`crate::world::UNITS_PER_MICROSECOND`].
+    pub fn of(histogram: &hdrhistogram::Histogram<u64>) -> Cost {
+        let us = |value: f64| value / crate::world::UNITS_PER_MICROSECOND;
+        Cost {
+            count: histogram.len(),
+            median_us: us(histogram.value_at_quantile(0.5) as f64),
+            p99_us: us(histogram.value_at_quantile(0.99) as f64),
+            mean_us: us(histogram.mean()),
+        }
+    }
+}
+
 /// What the steps of the module cost at one size, in one play.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StepCosts {
@@ -88,6 +101,17 @@
     pub same: bool,
 }
 
+/// Resident memory that things of one kind take.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemoryUse {
+    /// What they are.
+    pub kind: String,
+    /// How many there were.
+    pub count: u64,
+    /// Bytes for each.
+    pub bytes_each: f64,
+}
+
 /// Rules that were counted at the replicas.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq)]
 pub struct RuleCounts {
--- a/crates/scale/src/steps.rs
+++ b/crates/scale/src/steps.rs
@@ -2,8 +2,7 @@
 
 use crate::fleet::Shape;
 use crate::results::{Cost, StepCosts};
-use crate::world::{Options, Report, World, READ_RATE, UNITS_PER_MICROSECOND};
-use hdrhistogram::Histogram;
+use crate::world::{Options, Report, World, READ_RATE};
 use std::time::Duration;
 
 /// Requests a second that the target's peak gives one dispatcher: 31,000 over 530.
@@ -44,12 +43,6 @@
 }
 
 fn costs(measurement: &Measurement, report: Report) -> StepCosts {
-    let cost = |histogram: &Histogram<u64>| Cost {
-        count: histogram.len(),
-        median_us: histogram.value_at_quantile(0.5) as f64 / UNITS_PER_MICROSECOND,
-        p99_us: histogram.value_at_quantile(0.99) as f64 / UNITS_PER_MICROSECOND,
-        mean_us: histogram.mean() / UNITS_PER_MICROSECOND,
-    };
     StepCosts {
         replicas: measurement.replicas,
         dispatchers: measurement.dispatchers,
@@ -57,6 +50,6 @@
         seed: measurement.seed,
         arrivals: report.arrivals,
         finished: report.arrivals >= measurement.arrivals,
-        steps: report.steps.iter().map(|(step, it)| (step.name().to_owned(), cost(it))).collect(),
+        steps: report.steps.iter().map(|(step, it)| (step.name().to_owned(), Cost::of(it))).collect(),
     }
 }
--- a/crates/scale/src/table.rs
+++ b/crates/scale/src/table.rs
@@ -3,7 +3,7 @@
 //! The page marks the place of each table with `<!-- table: NAME -->` and `<!-- end -->` on lines of their own; what
 //! stands between is replaced.
 
-use crate::results::{self, Run, StepCosts};
+use crate::results::{self, ChoiceWorth, MemoryUse, Run, ScaleRun, StepCosts};
 use crate::slope::Slope;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -42,6 +42,10 @@
     let path = folder.join(format!("{file}.json"));
     match kind {
         "steps" => Ok(steps(&results::read::<Run<Vec<StepCosts>>>(&path)?)),
+        "choice" => Ok(choice(&results::read::<Run<Vec<ChoiceWorth>>>(&path)?)),
+        "runs" => Ok(runs(&results::read::<Run<Vec<ScaleRun>>>(&path)?)),
+        "budget" => Ok(budget(&results::read::<Run<Vec<ScaleRun>>>(&path)?)),
+        "memory" => Ok(memory(&results::read::<Run<Vec<MemoryUse>>>(&path)?)),
         other => Err(format!("no such table: {other:?}")),
     }
 }
@@ -99,3 +103,106 @@
     text.push_str(&source(run));
     text
 }
+
+/// Worth of both choices by size, and how often both did the same.
+fn choice(run: &Run<Vec<ChoiceWorth>>) -> String {
+    let mut text = String::from(
+        "| replicas | cold | plays | worth with candidates | with all looked at | given up | with all looked at | the same draw for draw |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    let kinds: BTreeSet<(usize, u64)> =
+        run.results.iter().map(|it| (it.replicas, (it.cold * 100.0) as u64)).collect();
+    for (replicas, cold) in kinds {
+        let of_kind = |it: &&ChoiceWorth| it.replicas == replicas && (it.cold * 100.0) as u64 == cold;
+        let plays: Vec<&ChoiceWorth> = run.results.iter().filter(of_kind).collect();
+        let part = |of: fn(&ChoiceWorth) -> f64| interval(plays.iter().map(|it| of(it)).collect(), 4);
+        let same = plays.iter().filter(|it| it.same).count();
+        text.push_str(&format!(
+            "| {replicas} | {cold}% | {} | {} | {} | {} | {} | {same} |\n",
+            plays.len(),
+            part(|it| it.worth_candidates),
+            part(|it| it.worth_full),
+            part(|it| it.given_up_candidates as f64 / it.arrivals as f64),
+            part(|it| it.given_up_full as f64 / it.arrivals as f64),
+        ));
+    }
+    text + &source(run)
+}
+
+/// The mean of several values, with its standard error where there are several.
+fn interval(values: Vec<f64>, digits: usize) -> String {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    if values.len() < 2 {
+        return format!("{mean:.digits$}");
+    }
+    let square = values.iter().map(|it| (it - mean).powi(2)).sum::<f64>();
+    let error = (square / (count - 1.0) / count).sqrt();
+    format!("{mean:.digits$} ± {error:.digits$}")
+}
+
+/// What real dispatchers used, and what their clients got, by size.
+fn runs(run: &Run<Vec<ScaleRun>>) -> String {
+    let mut text = String::from(
+        "| replicas | seed | served | refused | lost | broken rules | core | MB | ready, s | to first token, ms: median | p99 | to a replica, ms: median | p99 | rig |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for it in &run.results {
+        let count = it.usage.len().max(1) as f64;
+        let mean = |of: fn(&results::Usage) -> f64| it.usage.iter().map(of).sum::<f64>() / count;
+        let rules = it.rules.sends_after_drain + it.rules.cold_falls + it.rules.states_held_too_long;
+        text.push_str(&format!(
+            "| {} | {} | {} of {} | {} | {} | {rules} | {:.3} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} | {:.1} | {} |\n",
+            it.replicas,
+            it.seed,
+            it.answers.served,
+            it.answers.sent,
+            it.answers.refused,
+            it.answers.lost,
+            mean(|it| it.core),
+            mean(|it| it.resident_mb),
+            mean(|it| it.ready_s),
+            it.first_token.median_ms,
+            it.first_token.p99_ms,
+            it.to_replica.median_ms,
+            it.to_replica.p99_ms,
+            if it.rig_limited { "the bottleneck: no figure" } else { "not the bottleneck" },
+        ));
+    }
+    text + &source(run)
+}
+
+/// The target's budget for control, and what a dispatcher used at the largest size that was run.
+fn budget(run: &Run<Vec<ScaleRun>>) -> String {
+    let largest = run.results.iter().map(|it| it.replicas).max().unwrap_or(0);
+    let plays: Vec<&ScaleRun> = run.results.iter().filter(|it| it.replicas == largest).collect();
+    let mean = |of: fn(&results::Usage) -> f64| {
+        let values: Vec<f64> = plays.iter().flat_map(|it| &it.usage).map(of).collect();
+        values.iter().sum::<f64>() / values.len().max(1) as f64
+    };
+    let verdict = |used: f64, most: f64| if used <= most { "within" } else { "over" };
+    let rows = [
+        ("resident memory, all of it, MB", mean(|it| it.resident_mb), 256.0),
+        ("lists, KB a second", mean(|it| it.list_bytes_per_s) / 1000.0, 26.0),
+        ("heard from other dispatchers, KB a second", mean(|it| it.heard_bytes_per_s) / 1000.0, 26.0),
+        (
+            "lists and talk heard together, KB a second",
+            mean(|it| it.list_bytes_per_s + it.heard_bytes_per_s) / 1000.0,
+            26.0,
+        ),
+        ("processor, requests and streams included, parts of a core", mean(|it| it.core), 0.013),
+    ];
+    let mut text = format!("| at {largest} replicas | used | budget | |\n| --- | --- | --- | --- |\n");
+    for (name, used, most) in rows {
+        text.push_str(&format!("| {name} | {used:.3} | {most} | {} |\n", verdict(used, most)));
+    }
+    text + &source(run)
+}
+
+/// Bytes that one more of each kind takes.
+fn memory(run: &Run<Vec<MemoryUse>>) -> String {
+    let mut text =
+        String::from("| kind | count | bytes of resident memory for each |\n| --- | --- | --- |\n");
+    for it in &run.results {
+        text.push_str(&format!("| {} | {} | {:.0} |\n", it.kind, it.count, it.bytes_each));
+    }
+    text + &source(run)
+}
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -202,7 +202,7 @@
         }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
-            for id in self.requests.ids() {
+            for id in self.requests.ids_to_look_after() {
                 self.sweep(now, id);
             }
         }
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -6,9 +6,13 @@
 use crate::bans::{Bans, Marks, Refusal};
 use crate::hearsay;
 use slog::{debug, info, Logger};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
+/// Addresses that one call is passed on to at the most: any node takes it, and all of a large fleet are not to be listed
+/// for each.
+const MOST_ADDRESSES: usize = 64;
+
 /// A node of the table.
 pub(super) struct Node {
     pub name: Arc<str>,
@@ -40,6 +44,7 @@
 #[derive(Default)]
 pub(super) struct Nodes {
     numbers: HashMap<Arc<str>, ServerId>,
+    hashed: HashMap<u32, BTreeSet<ServerId>>, // by what other dispatchers know them by
     next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
     barred: HashSet<Arc<str>>, // addresses to which nothing new may go, as was last commanded
@@ -64,24 +69,18 @@
 
     /// The one node that others know by this hash; none where two share it.
     pub fn by_hash(&self, hash: u32) -> Option<ServerId> {
-        let mut named = self.nodes.iter().filter(|(_, it)| hearsay::key(it.listed.key) == hash);
-        match (named.next(), named.next()) {
-            (Some((server, _)), None) => Some(*server),
-            _ => None,
-        }
+        let named = self.hashed.get(&hash).filter(|named| named.len() == 1)?;
+        named.first().copied()
     }
 
-    /// Where something may be passed on for a request: where it was tried, in that order, then any other.
+    /// Where something may be passed on for a request: where it was tried, in that order, then some others.
     pub fn addresses(&self, tried: impl Iterator<Item = ServerId>) -> Vec<Arc<str>> {
         let tried = tried.filter_map(|server| self.nodes.get(&server));
         let rest = self.nodes.values().filter(|node| node.state == State::Ready);
-        let mut addresses: Vec<Arc<str>> = Vec::new();
-        for node in tried.chain(rest).filter(|node| node.state != State::Gone) {
-            if !addresses.contains(&node.address) {
-                addresses.push(node.address.clone());
-            }
-        }
-        addresses
+        let mut seen = HashSet::new();
+        let known = tried.chain(rest).filter(|node| node.state != State::Gone);
+        let addresses = known.map(|node| &node.address).filter(|address| seen.insert(*address));
+        addresses.take(MOST_ADDRESSES).cloned().collect()
     }
 
     /// Gives a member of which only the state could be read the rest, as it was told before; false where nothing was.
@@ -125,6 +124,7 @@
                     "address" => %address, "role" => ?role, "state" => ?state, "started" => ?node.listed.started);
                 news.noted.push((node.name.clone(), entry.clone()));
             }
+            self.hashed.entry(hearsay::key(entry.key)).or_default().insert(server);
             self.nodes.insert(server, node);
             news.entries.push(entry);
         }
@@ -211,8 +211,20 @@
         for server in &over {
             let Some(node) = self.nodes.remove(server) else { continue };
             self.numbers.remove(&node.name);
+            let hash = hearsay::key(node.listed.key);
+            let named = self.hashed.get_mut(&hash).is_some_and(|named| {
+                named.remove(server);
+                !named.is_empty()
+            });
+            if !named {
+                self.hashed.remove(&hash);
+            }
             self.bans.has_left(node.name);
         }
         over
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/dispatch_nodes.rs"]
+mod tests;
--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -175,8 +175,10 @@
         self.requests.get_mut(&id)
     }
 
-    pub fn ids(&self) -> Vec<RequestId> {
-        self.requests.keys().copied().collect()
+    /// Requests that have to be looked after: all but those of which nothing is left but a stream that goes on.
+    pub fn ids_to_look_after(&self) -> Vec<RequestId> {
+        let waits = |held: &Held| held.is_open() || held.closed || held.known || held.stray;
+        self.requests.iter().filter(|(_, held)| waits(held)).map(|(id, _)| *id).collect()
     }
 
     /// Classes of which some request is in the table.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -771,3 +771,35 @@
     one.hear(Event::Probed { server: 0, ok: true, load: load(2.0) });
     assert!(one.core.to_tell(one.now).is_some(), "and that it has changed is news again");
 }
+
+/// However many servers there are, a lease call names a bounded number of them, the one that holds the state first.
+#[test]
+fn a_lease_call_names_a_bounded_number_of_servers() {
+    let mut bench = Bench::new(10);
+    let address = |at: usize| Arc::<str>::from(format!("127.0.0.1:{}", 10_000 + at));
+    let members = (0..500).map(|at| {
+        let role = if at % 2 == 0 { Role::Reader } else { Role::Writer };
+        let member = member("x", role, State::Ready);
+        Member { name: format!("n{at}").into(), address: address(at), ..member }
+    });
+    bench.hear(Event::Members { complete: true, members: members.collect() });
+    let _answer = bench.ask(1, 0, "a");
+    let sent = bench.commands.iter().find_map(|it| match it {
+        Command::Send { address, .. } => Some(address.clone()),
+        _ => None,
+    });
+    let status = Status::Read;
+    bench.hear(Event::Ended { id: 1, attempt: 0, status, note: 0.0, written: 0.0, load: None });
+    bench.hear(Event::Gone { id: 1, fate: None });
+    for (id, attempt) in bench.cancels() {
+        bench.ended(id, attempt, Status::Cancelled);
+    }
+    let released = bench.commands.iter().find_map(|it| match it {
+        Command::Release { addresses, .. } => Some(addresses.clone()),
+        _ => None,
+    });
+    let (sent, released) = (sent.expect("it is read"), released.expect("it is let go"));
+    assert!(released.contains(&sent) && released.len() <= 64, "{} addresses", released.len());
+    let distinct: BTreeSet<&Arc<str>> = released.iter().collect();
+    assert_eq!(distinct.len(), released.len());
+}
