What may have run is refused only while repeats are dropped; the scale rig writes a list once

Change: one function, may_repeat, says for sends and for refusals alike whether a request may run once more. Test: refused within the window, failed after it; the older test of groups asks the same at its end now, which is stricter (it let refusals through where all servers drop repeats, whatever the time). Both fail without the change.

--- a/crates/scale/src/core_steps.rs
+++ b/crates/scale/src/core_steps.rs
@@ -7,7 +7,7 @@
 use crate::world::UNITS_PER_MICROSECOND;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use quartzhall::api::{Ask, Entry, Load, ServerId, State, Status, Time};
+use quartzhall::api::{Ask, Entry, Load, RequestId, ServerId, State, Status, Time};
 use quartzhall::dispatch::{Answer, Command, Core, Event, Member, Work};
 use quartzhall::hearsay::Hearsay;
 use quartzhall::settings::{hash, Config, Site};
@@ -145,7 +145,13 @@
             Work { name: format!("r{id}").into(), target: "/v1/chat/completions".into(), body: Bytes::new() };
         let (answer, answered) = oneshot::channel();
         self.answers.push(answered);
-        let mut commands = self.time("core: request", Event::Request { ask, work, answer });
+        let commands = self.time("core: request", Event::Request { ask, work, answer });
+        let commands = self.ask_servers(commands);
+        is_sent(&commands, id, 0)
+    }
+
+    /// Servers that are asked for their load before a choice answer, and the choice is made.
+    fn ask_servers(&mut self, mut commands: Vec<Command>) -> Vec<Command> {
         let probed: Vec<_> = commands.iter().filter_map(probed).collect();
         for server in probed {
             let load = Some(Load { in_flight: Some(1.0), memory: Some(0.1), ..Load::default() });
@@ -156,7 +162,7 @@
         self.core.wake(self.now);
         commands.extend(self.core.commands());
         self.record("core: wake, a request is sent", began);
-        commands.iter().any(|it| matches!(it, Command::Send { id: sent, .. } if *sent == id))
+        commands
     }
 
     /// Requests of which the client leaves when they are read: the state is let go.
@@ -192,10 +198,12 @@
             if !self.request(id) {
                 continue;
             }
-            self.core.hear(
-                self.now,
-                Event::Ended { id, attempt: 0, status: Status::Read, note: 0.0, written: 0.0, load: None },
-            );
+            let (status, note, written, load) = (Status::Read, 0.0, 0.0, None);
+            self.core.hear(self.now, Event::Ended { id, attempt: 0, status, note, written, load });
+            let commands = self.core.commands();
+            if !is_sent(&self.ask_servers(commands), id, 1) {
+                continue;
+            }
             let stream = mpsc::channel(1).1;
             self.core.hear(self.now, Event::First { id, attempt: 1, stream });
             self.core.commands();
@@ -203,6 +211,12 @@
     }
 }
 
+fn is_sent(commands: &[Command], of: RequestId, number: u32) -> bool {
+    let sends =
+        |it: &Command| matches!(it, Command::Send { id, attempt, .. } if (*id, *attempt) == (of, number));
+    commands.iter().any(sends)
+}
+
 fn probed(command: &Command) -> Option<ServerId> {
     match command {
         Command::Probe { server, .. } => Some(*server),
--- a/crates/scale/src/hollow/discovery.rs
+++ b/crates/scale/src/hollow/discovery.rs
@@ -13,6 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 
+/// The version of the list at the start.
+pub const FIRST_REVISION: u64 = 1;
 /// Versions of which the changes are kept; who has an older one is sent the whole list.
 const KEPT_CHANGES: usize = 4096;
 /// The longest wait of a watch.
@@ -44,11 +46,40 @@
     }
 }
 
+/// A list as it is written, and which members it tells of; all of them in a whole one.
+struct List {
+    text: String,
+    whole: bool,
+    told: Vec<(usize, State)>,
+}
+
 struct Table {
     revision: u64,
     members: Vec<Member>,
-    changes: Vec<(u64, usize)>, // by revision: which member
-    whole_at: u64,              // everybody older is sent the whole list
+    written: HashMap<Option<u64>, Arc<List>>, // of this revision, by the one that it starts from
+    changes: Vec<(u64, usize)>,               // by revision: which member
+    whole_at: u64,                            // everybody older is sent the whole list
+}
+
+impl Table {
+    fn list(&self, from: Option<u64>) -> List {
+        let whole = from.is_none_or(|from| from < self.whole_at || from > self.revision);
+        let mut numbers: Vec<usize> = match from.filter(|_| !whole) {
+            None => (0..self.members.len()).collect(),
+            Some(from) => {
+                self.changes.iter().filter(|(at, _)| *at > from).map(|(_, number)| *number).collect()
+            }
+        };
+        numbers.sort_unstable();
+        numbers.dedup();
+        let mut text = format!(r#"{{"revision":{},"complete":{whole},"members":["#, self.revision);
+        for (at, number) in numbers.iter().enumerate() {
+            let _ = write!(text, "{}{}", if at == 0 { "" } else { "," }, self.members[*number].line());
+        }
+        text.push_str("]}");
+        let told = numbers.iter().map(|number| (*number, self.members[*number].entry.state)).collect();
+        List { text, whole, told }
+    }
 }
 
 /// What was written to one dispatcher.
@@ -84,8 +115,9 @@
 impl Discovery {
     /// A discovery that has this list.
     pub fn new(members: Vec<Member>) -> Discovery {
-        let table = Table { revision: 1, members, changes: Vec::new(), whole_at: 0 };
-        Discovery { table: Arc::new(Mutex::new(table)), newest: watch::channel(1).0 }
+        let written = HashMap::new();
+        let table = Table { revision: FIRST_REVISION, members, written, changes: Vec::new(), whole_at: 0 };
+        Discovery { table: Arc::new(Mutex::new(table)), newest: watch::channel(FIRST_REVISION).0 }
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -95,6 +127,7 @@
     /// Changes members, each by its number, and tells all that watch.
     pub fn change(&self, numbers: &[usize], change: impl Fn(&mut Member)) {
         let mut table = self.table();
+        table.written.clear();
         for number in numbers {
             change(&mut table.members[*number]);
             table.revision += 1;
@@ -112,6 +145,7 @@
     /// Sends the whole list to all that watch.
     pub fn send_whole(&self) {
         let mut table = self.table();
+        table.written.clear();
         table.revision += 1;
         table.whole_at = table.revision;
         table.changes.clear();
@@ -125,25 +159,15 @@
         all.filter(|(_, member)| holds(member)).map(|(number, _)| number).collect()
     }
 
-    /// The list as JSON, from a version on, and which members it tells of; all of them in a whole list.
-    fn list(&self, from: Option<u64>) -> (String, bool, Vec<(usize, State)>) {
-        let table = self.table();
-        let whole = from.is_none_or(|from| from < table.whole_at || from > table.revision);
-        let mut numbers: Vec<usize> = match from.filter(|_| !whole) {
-            None => (0..table.members.len()).collect(),
-            Some(from) => {
-                table.changes.iter().filter(|(at, _)| *at > from).map(|(_, number)| *number).collect()
-            }
-        };
-        numbers.sort_unstable();
-        numbers.dedup();
-        let mut text = format!(r#"{{"revision":{},"complete":{whole},"members":["#, table.revision);
-        for (at, number) in numbers.iter().enumerate() {
-            let _ = write!(text, "{}{}", if at == 0 { "" } else { "," }, table.members[*number].line());
+    /// The list from a version on. Many dispatchers ask for the same one: it is written once.
+    fn list(&self, from: Option<u64>) -> Arc<List> {
+        let mut table = self.table();
+        if let Some(list) = table.written.get(&from) {
+            return list.clone();
         }
-        text.push_str("]}");
-        let told = numbers.iter().map(|number| (*number, table.members[*number].entry.state)).collect();
-        (text, whole, told)
+        let list = Arc::new(table.list(from));
+        table.written.insert(from, list.clone());
+        list
     }
 
     /// Answers the calls of one dispatcher, for as long as the task runs.
@@ -183,7 +207,8 @@
             let hold = Duration::from_millis(number("hold_ms").unwrap_or(0)).min(LONGEST_HOLD);
             let _ = timeout(hold, self.newest.subscribe().wait_for(|newest| *newest > from)).await;
         }
-        let (text, whole, told) = self.list(from);
+        let list = self.list(from);
+        let text = &list.text;
         let answer = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
             text.len()
@@ -191,10 +216,10 @@
         stream.write_all(answer.as_bytes()).await?;
         written.bytes.fetch_add(answer.len() as u64, Ordering::Relaxed);
         written.lists.fetch_add(1, Ordering::Relaxed);
-        written.whole.fetch_add(u64::from(whole), Ordering::Relaxed);
+        written.whole.fetch_add(u64::from(list.whole), Ordering::Relaxed);
         let now = Instant::now();
         let mut known = written.told();
-        for (number, state) in told {
+        for (number, state) in list.told.iter().copied() {
             match state {
                 State::Ready => drop(known.remove(&number)),
                 State::Draining | State::Gone => drop(known.entry(number).or_insert(now)),
--- a/crates/scale/src/hollow/peers.rs
+++ b/crates/scale/src/hollow/peers.rs
@@ -1,7 +1,7 @@
 //! Hollow dispatchers, as the real ones meet them: each has an address from which it tells the others things, and calls
 //! discovery. They have no clients and choose no servers.
 
-use crate::hollow::discovery::Written;
+use crate::hollow::discovery::FIRST_REVISION;
 use quartzhall::api::{Load, Time};
 use quartzhall::backoff::Backoff;
 use quartzhall::hearsay::Hearsay;
@@ -68,9 +68,10 @@
     }
 }
 
-/// Follows discovery with the program's own watch and pauses, and discards the lists, for as long as the task runs.
-pub async fn follow(address: String, dispatchers: u32, seed: u64, written: Arc<Written>) {
-    let mut watch = Watch::from(None, false);
+/// Follows discovery with the program's own watch and pauses, and discards the lists, for as long as the task runs. It has
+/// been running for long and knows the first list.
+pub async fn follow(address: String, dispatchers: u32, seed: u64) {
+    let mut watch = Watch::from(Some(FIRST_REVISION), false);
     let mut backoff = Backoff::new(dispatchers, seed);
     sleep(backoff.first()).await;
     loop {
@@ -81,10 +82,7 @@
                 backoff.succeeded();
                 watch.answered(revision);
             }
-            None => {
-                written.lists.fetch_add(0, Ordering::Relaxed);
-                sleep(backoff.pause_within(watch.longest_pause(began.elapsed()))).await;
-            }
+            None => sleep(backoff.pause_within(watch.longest_pause(began.elapsed()))).await,
         }
     }
 }
--- a/crates/scale/src/memory.rs
+++ b/crates/scale/src/memory.rs
@@ -4,15 +4,14 @@
 use crate::process;
 use crate::results::MemoryUse;
 
-/// Counts that are large enough to be seen beside the allocator's own steps.
+/// Enough streams to be seen beside the allocator's own steps.
 const STREAMS: u64 = 3_000;
-const CONVERSATIONS: u64 = 20_000;
 
 fn resident_bytes() -> f64 {
     process::sample(std::process::id()).map_or(0.0, |it| it.resident_mb * 1024.0 * 1024.0)
 }
 
-/// Measures what replicas, conversations that were read, and open streams take, one after the other in one core.
+/// Measures what replicas and open streams take, one after the other in one core.
 pub fn measure(replicas: usize, dispatchers: u32, seed: u64) -> Result<Vec<MemoryUse>, String> {
     let mut bench = Bench::new(replicas, dispatchers, seed)?;
     let mut results = Vec::new();
@@ -24,8 +23,6 @@
     };
     bench.first_list();
     note("replica, in the core's table, the module and its index", replicas as u64);
-    bench.read_and_leave(1, CONVERSATIONS);
-    note("conversation that was read, in the prefix table", CONVERSATIONS);
     bench.open_streams(1_000_000, STREAMS);
     note("open stream, in the core's table and the module", STREAMS);
     Ok(results)
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -131,8 +131,7 @@
     async fn hollow(
         &mut self, scenario: &Scenario, seed: u64, sockets: Vec<UdpSocket>, real: &[String],
     ) -> Result<Peers, String> {
-        let written = Arc::new(Written::default());
-        let agent = self.agent(written.clone()).await?;
+        let agent = self.agent(Arc::default()).await?;
         let count = self.replicas.len();
         let keys = (0..count).map(|number| quartzhall::settings::hash(&format!("replica-{number}")));
         let peers = Peers {
@@ -147,7 +146,7 @@
         for (number, socket) in sockets.into_iter().enumerate() {
             let own = seed.wrapping_add(1_000 + number as u64);
             self.tasks.spawn(peers::tell(peers.clone(), socket, own));
-            self.tasks.spawn(peers::follow(agent.clone(), peers.told, own, written.clone()));
+            self.tasks.spawn(peers::follow(agent.clone(), peers.told, own));
         }
         Ok(peers)
     }
--- a/crates/scale/src/table.rs
+++ b/crates/scale/src/table.rs
@@ -45,6 +45,7 @@
         "choice" => Ok(choice(&results::read::<Run<Vec<ChoiceWorth>>>(&path)?)),
         "runs" => Ok(runs(&results::read::<Run<Vec<ScaleRun>>>(&path)?)),
         "budget" => Ok(budget(&results::read::<Run<Vec<ScaleRun>>>(&path)?)),
+        "carried" => Ok(carried(&results::read::<Run<Vec<ScaleRun>>>(&path)?)),
         "memory" => Ok(memory(&results::read::<Run<Vec<MemoryUse>>>(&path)?)),
         other => Err(format!("no such table: {other:?}")),
     }
@@ -147,7 +148,7 @@
     );
     for it in &run.results {
         let count = it.usage.len().max(1) as f64;
-        let mean = |of: fn(&results::Usage) -> f64| it.usage.iter().map(of).sum::<f64>() / count;
+        let mean = |of: Measure| it.usage.iter().map(of).sum::<f64>() / count;
         let rules = it.rules.sends_after_drain + it.rules.cold_falls + it.rules.states_held_too_long;
         text.push_str(&format!(
             "| {} | {} | {} of {} | {} | {} | {rules} | {:.3} | {:.1} | {:.2} | {:.1} | {:.1} | {:.1} | {:.1} | {} |\n",
@@ -174,7 +175,7 @@
 fn budget(run: &Run<Vec<ScaleRun>>) -> String {
     let largest = run.results.iter().map(|it| it.replicas).max().unwrap_or(0);
     let plays: Vec<&ScaleRun> = run.results.iter().filter(|it| it.replicas == largest).collect();
-    let mean = |of: fn(&results::Usage) -> f64| {
+    let mean = |of: Measure| {
         let values: Vec<f64> = plays.iter().flat_map(|it| &it.usage).map(of).collect();
         values.iter().sum::<f64>() / values.len().max(1) as f64
     };
@@ -206,3 +207,32 @@
     }
     text + &source(run)
 }
+
+/// One figure of what a dispatcher used.
+type Measure = fn(&results::Usage) -> f64;
+
+/// What the smaller sizes say of the largest one, and what was measured there.
+fn carried(run: &Run<Vec<ScaleRun>>) -> String {
+    let largest = run.results.iter().map(|it| it.replicas).max().unwrap_or(0);
+    let rows: [(&str, Measure); 2] =
+        [("processor, parts of a core", |it| it.core), ("resident memory, MB", |it| it.resident_mb)];
+    let mut text = format!(
+        "| | exponent over smaller sizes | predicted at {largest} replicas | measured |\n| --- | --- | --- | --- |\n"
+    );
+    for (name, of) in rows {
+        let points = |holds: fn(usize, usize) -> bool| -> Vec<(f64, f64)> {
+            let plays = run.results.iter().filter(|it| holds(it.replicas, largest));
+            plays.flat_map(|it| it.usage.iter().map(|usage| (it.replicas as f64, of(usage)))).collect()
+        };
+        let measured = points(|size, largest| size == largest);
+        let mean = measured.iter().map(|it| it.1).sum::<f64>() / measured.len().max(1) as f64;
+        let Some(slope) = Slope::fit(&points(|size, largest| size < largest)) else { continue };
+        text.push_str(&format!(
+            "| {name} | {:.2} ± {:.2} | {:.3} | {mean:.3} |\n",
+            slope.exponent,
+            slope.error,
+            slope.at(largest as f64)
+        ));
+    }
+    text + &source(run)
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -890,19 +890,22 @@
 
     /// Unsafe: only when nothing ran. Keyed: only where and as long as repeats are dropped.
     fn effect_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
+        let safe = self.settings.classes[request.ask.class].effect != Effect::Unsafe;
+        stage == Stage::Read && safe || self.may_repeat(request, Some(&server.entry))
+    }
+
+    /// Whether the request may run once more at a server, or anywhere, whatever has run by now.
+    fn may_repeat(&self, request: &Request, here: Option<&Entry>) -> bool {
         let effect = self.settings.classes[request.ask.class].effect;
-        let dropped = |attempt: &Attempt| match (effect, self.servers.get(&attempt.choice.server)) {
+        let may = |it: &Attempt| match (effect, self.servers.get(&it.choice.server).zip(here)) {
             (Effect::Safe, _) => true,
-            (Effect::Keyed { group, window }, Some(earlier)) => {
-                let (there, here) = (&earlier.entry, &server.entry);
-                let zone = group != Group::Zone || there.zone == here.zone;
-                let cell = group != Group::Cell || there.cell == here.cell;
-                zone && cell && self.now < attempt.sent + window
-            }
+            (Effect::Keyed { window, .. }, _) if self.now >= it.sent + window => false,
+            (Effect::Keyed { group: Group::All, .. }, _) => true,
+            (Effect::Keyed { group: Group::Zone, .. }, Some((it, here))) => it.entry.zone == here.zone,
+            (Effect::Keyed { group: Group::Cell, .. }, Some((it, here))) => it.entry.cell == here.cell,
             _ => false,
         };
-        let again = stage == Stage::Read && effect != Effect::Unsafe;
-        again || request.attempts.iter().all(|attempt| attempt.harmless || dropped(attempt))
+        request.attempts.iter().all(|it| it.harmless || may(it))
     }
 
     /// A cold server gets this router's part of what it can take in any span of the rule's length, by what
@@ -932,12 +935,10 @@
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
     fn act(&mut self, request: &mut Request, action: Action) -> bool {
         let open = !request.answered && !request.begun;
-        let effect = self.settings.classes[request.ask.class].effect;
-        let dropped = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let allowed = match action {
             Action::Cancel { .. } => self.settings.may_cancel,
             // A refusal says that trying again is harmless.
-            Action::Refuse { .. } => open && (dropped || request.attempts.iter().all(|it| it.harmless)),
+            Action::Refuse { .. } => open && self.may_repeat(request, None),
             Action::Fail { .. } => open,
             _ => true,
         };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -122,7 +122,30 @@
         actions.extend(desk.pass(4 * SECOND));
         assert_eq!(sent_to(&actions, 1).is_some(), may, "{group:?} after {wait}");
         let refused = actions.iter().any(|action| matches!(action, Action::Refuse { .. }));
-        assert!(!refused || group == Group::All, "only repeats dropped by all may be refused");
+        assert!(
+            !refused,
+            "all of this ends when repeats are not dropped any more: trying again would do harm"
+        );
+    }
+}
+
+/// A refusal says that trying again is harmless. After an attempt that may have run that holds only while repeats are dropped
+/// by all servers.
+#[test]
+fn what_may_have_run_is_refused_only_while_repeats_are_dropped() {
+    for (group, ends_in, refused) in [
+        (Group::All, 500 * MS, true),
+        (Group::All, 1_500 * MS, false),
+        (Group::Zone, 500 * MS, false),
+        (Group::Cell, 500 * MS, false),
+    ] {
+        let mut desk = desk(Effect::Keyed { group, window: SECOND }, mixed());
+        sent_to(&desk.ask(ask(1, 1)), 1).expect("sent");
+        let end = desk.now + ends_in;
+        let mut actions = desk.hear(Event::EndBy(end));
+        actions.extend(desk.pass(ends_in + 10 * MS));
+        let refusals = actions.iter().filter(|it| matches!(it, Action::Refuse { .. })).count();
+        assert_eq!((finals(&actions, 1), refusals == 1), (1, refused), "{group:?} after {ends_in}");
     }
 }
 
