--- a/crates/scale/src/core_steps.rs
+++ b/crates/scale/src/core_steps.rs
@@ -9,7 +9,7 @@
 use hdrhistogram::Histogram;
 use quartzhall::api::{Ask, Entry, Load, RequestId, ServerId, State, Status, Time};
 use quartzhall::dispatch::{Answer, Command, Core, Event, Member, Work};
-use quartzhall::hearsay::Hearsay;
+use quartzhall::gossip::Gossip;
 use quartzhall::settings::{hash, Config, Site};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -118,8 +118,8 @@
 
     /// Messages that each tell of one replica's load.
     fn messages(&mut self, dispatchers: u32, rng: &mut Pcg32) {
-        self.core.take_hearsay(Hearsay::new(dispatchers as usize, config::PEER_PRICE));
-        let mut other = Hearsay::new(dispatchers as usize, config::PEER_PRICE);
+        self.core.set_gossip(Gossip::new(dispatchers as usize, config::PEER_PRICE));
+        let mut other = Gossip::new(dispatchers as usize, config::PEER_PRICE);
         for turn in 0..TURNS {
             self.now += 20 * MS;
             (0..EARNED_BY).for_each(|_| other.request());
--- a/crates/scale/src/hollow/peers.rs
+++ b/crates/scale/src/hollow/peers.rs
@@ -4,7 +4,7 @@
 use crate::hollow::discovery::FIRST_REVISION;
 use quartzhall::api::{Load, Time};
 use quartzhall::backoff::Backoff;
-use quartzhall::hearsay::Hearsay;
+use quartzhall::gossip::Gossip;
 use quartzhall::watch::Watch;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -47,17 +47,17 @@
 /// Tells the real dispatchers what one of its size would, for as long as the task runs. What it may spend on that is the
 /// program's own budget; what it has to tell are random loads.
 pub async fn tell(peers: Peers, socket: UdpSocket, seed: u64) {
-    let mut hearsay = Hearsay::new(peers.told as usize, peers.price);
+    let mut gossip = Gossip::new(peers.told as usize, peers.price);
     let mut rng = Pcg32::seed_from_u64(seed);
     sleep(TURN.mul_f64(rng.gen())).await;
     loop {
         for _ in 0..(peers.rate * TURN.as_secs_f64()) as usize {
-            hearsay.request();
+            gossip.request();
             let number = rng.gen_range(0..peers.keys.len());
             let load = Load { in_flight: Some(rng.gen_range(0.0..MOST_IN_FLIGHT)), ..Load::default() };
-            hearsay.report(now(), number as u32, peers.keys[number], &load);
+            gossip.report(now(), number as u32, peers.keys[number], &load);
         }
-        if let Some(message) = hearsay.message(now()) {
+        if let Some(message) = gossip.message(now()) {
             peers.bytes.fetch_add(message.len() as u64, Ordering::Relaxed);
             peers.messages.fetch_add(1, Ordering::Relaxed);
             for real in peers.real.iter() {
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -5,7 +5,7 @@
 use super::table::{Attempt, Ended, Held, Table};
 use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, Settings, State, Status, Time};
 use crate::bans::Marks;
-use crate::hearsay::Hearsay;
+use crate::gossip::Gossip;
 use crate::notes::Notes;
 use crate::places::PARTS;
 use crate::settings::Site;
@@ -55,7 +55,7 @@
     draining: bool,
     commands: Vec<Command>,
     notes: Option<Notes>,
-    hearsay: Option<Hearsay>,
+    gossip: Option<Gossip>,
     pub(super) log: Logger,
 }
 
@@ -80,7 +80,7 @@
             draining: false,
             commands: Vec::new(),
             notes: None,
-            hearsay: None,
+            gossip: None,
             log,
         };
         core.step(now, api::Event::Wake);
@@ -93,28 +93,28 @@
     }
 
     /// Tells other dispatchers things from now on, and hears them.
-    pub fn take_hearsay(&mut self, hearsay: Hearsay) {
-        self.hearsay = Some(hearsay);
+    pub fn set_gossip(&mut self, gossip: Gossip) {
+        self.gossip = Some(gossip);
     }
 
     /// What other dispatchers are to be told now.
     pub fn to_tell(&mut self, now: Time) -> Option<Bytes> {
-        self.hearsay.as_mut()?.message(now).map(Bytes::from)
+        self.gossip.as_mut()?.message(now).map(Bytes::from)
     }
 
     /// A message from another dispatcher. Servers that are not listed here, and keys that two have, tell nothing.
     fn peer(&mut self, now: Time, from: usize, message: &[u8]) {
-        let Some(words) = self.hearsay.as_mut().map(|hearsay| hearsay.hear(now, from, message)) else {
+        let Some(read) = self.gossip.as_mut().map(|gossip| gossip.hear(now, from, message)) else {
             return;
         };
-        let words = words.unwrap_or_else(|why| {
+        let observations = read.unwrap_or_else(|why| {
             debug!(self.log, "a message was dropped"; "from" => from, "why" => ?why);
             Vec::new()
         });
-        for word in words {
-            let Some(server) = self.nodes.by_hash(word.key) else { continue };
-            let load = word.load;
-            self.hearsay.iter_mut().for_each(|hearsay| hearsay.heard(now, server, &word));
+        for observation in observations {
+            let Some(server) = self.nodes.by_hash(observation.key) else { continue };
+            let load = observation.load;
+            self.gossip.iter_mut().for_each(|gossip| gossip.heard(now, server, &observation));
             self.step(now, api::Event::Heard { server, load });
         }
     }
@@ -122,10 +122,10 @@
     /// What an attempt or a probe has shown of a server, for the others.
     fn tell(&mut self, now: Time, server: ServerId, failed: bool, load: Option<&Load>) {
         let node = self.nodes.get(server).map(|node| node.listed.key);
-        let (Some(hash), Some(hearsay)) = (node, &mut self.hearsay) else { return };
-        load.into_iter().for_each(|load| hearsay.report(now, server, hash, load));
+        let (Some(hash), Some(gossip)) = (node, &mut self.gossip) else { return };
+        load.into_iter().for_each(|load| gossip.report(now, server, hash, load));
         if failed {
-            hearsay.failure(hash);
+            gossip.failure(hash);
         }
     }
 
@@ -288,7 +288,7 @@
             let _ = answer.send(Answer::Refused(Duration::from_micros(self.site.settings.max_retry_after)));
             return;
         }
-        self.hearsay.iter_mut().for_each(Hearsay::request);
+        self.gossip.iter_mut().for_each(Gossip::request);
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
             "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
         let class = self.site.settings.classes.get(ask.class);
@@ -363,7 +363,7 @@
         let news = self.nodes.list(complete, members, &self.log);
         self.note_nodes(now, &news);
         for server in self.nodes.forget_gone(&self.requests.busy()) {
-            self.hearsay.iter_mut().for_each(|hearsay| hearsay.keep(|it| it != server));
+            self.gossip.iter_mut().for_each(|gossip| gossip.keep(|it| it != server));
             self.note(|notes| notes.node_gone(server));
         }
         self.commands.extend(self.nodes.bars());
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -4,7 +4,7 @@
 use super::messages::{Command, Member};
 use crate::api::{Entry, Role, ServerId, State, Time};
 use crate::bans::{Bans, Marks, Refusal};
-use crate::hearsay;
+use crate::gossip;
 use slog::{debug, info, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -124,7 +124,7 @@
                     "address" => %address, "role" => ?role, "state" => ?state, "started" => ?node.listed.started);
                 news.noted.push((node.name.clone(), entry.clone()));
             }
-            self.hashed.entry(hearsay::key(entry.key)).or_default().insert(server);
+            self.hashed.entry(gossip::key(entry.key)).or_default().insert(server);
             self.nodes.insert(server, node);
             news.entries.push(entry);
         }
@@ -211,7 +211,7 @@
         for server in &over {
             let Some(node) = self.nodes.remove(server) else { continue };
             self.numbers.remove(&node.name);
-            let hash = hearsay::key(node.listed.key);
+            let hash = gossip::key(node.listed.key);
             let named = self.hashed.get_mut(&hash).is_some_and(|named| {
                 named.remove(server);
                 !named.is_empty()
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: each turns its wire into core requests and core answers into its wire, and decides nothing.
 
+mod connection;
 pub mod health;
 pub mod listener;
 pub mod management;
--- a/src/hearsay.rs
+++ b/src/gossip.rs
@@ -39,7 +39,7 @@
 
 /// What one message says of one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Word {
+pub struct Observation {
     /// The lowest 24 bits of the hash of the server's name.
     pub key: u32,
     /// Its load; without one, an attempt there has failed.
@@ -63,7 +63,7 @@
 }
 
 /// What this dispatcher believes that others believe, and what it may still tell them.
-pub struct Hearsay {
+pub struct Gossip {
     receivers: f64,
     earned: f64, // bytes for each own request
     left: f64,
@@ -75,12 +75,12 @@
     dropped: u64,
 }
 
-impl Hearsay {
+impl Gossip {
     /// For a fleet of so many dispatchers, where a full message costs `price` points for each receiver and request.
     pub fn new(dispatchers: usize, price: f64) -> Self {
         let receivers = dispatchers.saturating_sub(1).max(1) as f64;
         let earned = SPENT / price.max(LEAST_PRICE) * LONGEST as f64 / receivers;
-        Hearsay {
+        Gossip {
             receivers,
             earned,
             left: earned,
@@ -167,13 +167,13 @@
     }
 
     /// What a message from another dispatcher says.
-    pub fn hear(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Word>, Dropped> {
+    pub fn hear(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Observation>, Dropped> {
         let read = self.read(now, from, message);
         self.dropped += u64::from(read.is_err());
         read
     }
 
-    fn read(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Word>, Dropped> {
+    fn read(&mut self, now: Time, from: usize, message: &[u8]) -> Result<Vec<Observation>, Dropped> {
         let (head, notes) = message.split_at_checked(HEAD).ok_or(Dropped::Spoilt)?;
         let spoilt =
             head[0] != MARK || notes.is_empty() || notes.len() % NOTE != 0 || message.len() > LONGEST;
@@ -189,20 +189,20 @@
             return Err(Dropped::Repeated);
         }
         *last = Some(sent);
-        let word = |note: &[u8]| {
+        let observation = |note: &[u8]| {
             let load = (note[3] != FAILED).then(|| Load {
                 in_flight: Some(f64::from(note[3])),
                 memory: Some((f64::from(note[4]) / MEMORY_SCALE).min(1.0)),
                 ..Load::default()
             });
-            Word { key: u32::from_be_bytes([0, note[0], note[1], note[2]]), load }
+            Observation { key: u32::from_be_bytes([0, note[0], note[1], note[2]]), load }
         };
-        Ok(notes.chunks_exact(NOTE).map(word).collect())
+        Ok(notes.chunks_exact(NOTE).map(observation).collect())
     }
 
-    /// A word is taken: what others now believe of this server.
-    pub fn heard(&mut self, now: Time, server: ServerId, word: &Word) {
-        if let Some(in_flight) = word.load.as_ref().and_then(|load| load.in_flight) {
+    /// An observation is taken over: what others now believe of this server.
+    pub fn heard(&mut self, now: Time, server: ServerId, observation: &Observation) {
+        if let Some(in_flight) = observation.load.as_ref().and_then(|load| load.in_flight) {
             self.believe(now, server, in_flight);
         }
     }
@@ -214,5 +214,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/hearsay.rs"]
+#[path = "../tests/unit/gossip.rs"]
 mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,9 @@
 use quartzhall::dispatch::{self, Clock, Core, Door, Event, Readiness};
 use quartzhall::fronts::room::Rooms;
 use quartzhall::fronts::{health, listener, management, platform, websocket, Course};
+use quartzhall::gossip::Gossip;
 use quartzhall::handover::shares::Phase;
 use quartzhall::handover::{self, Handover, Limits, View};
-use quartzhall::hearsay::Hearsay;
 use quartzhall::notes::Notes;
 use quartzhall::peers::Peers;
 use quartzhall::places::{Places, PARTS};
@@ -282,7 +282,7 @@
     let mut others = None;
     if let Some((price, peers)) = site.peer_price.zip(Peers::new(&config)).filter(|(_, it)| it.others() > 0) {
         let (tell, telling) = Peers::queue();
-        core.take_hearsay(Hearsay::new(peers.others() + 1, price));
+        core.set_gossip(Gossip::new(peers.others() + 1, price));
         others = Some(tell);
         tokio::spawn(peers.run(telling, door.clone(), log.clone()));
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -1,7 +1,7 @@
-//! Datagrams between dispatchers. Only carries them: what they mean is [`crate::hearsay`]'s, and the core's.
+//! Datagrams between dispatchers. Only carries them: what they mean is [`crate::gossip`]'s, and the core's.
 
 use crate::dispatch::{Door, Event};
-use crate::hearsay::LONGEST;
+use crate::gossip::LONGEST;
 use crate::settings::Config;
 use bytes::Bytes;
 use slog::{debug, info, Logger};
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -3,7 +3,7 @@
 use quartzhall::api::{Ask, Entry, Load, Role, State, Status, Time};
 use quartzhall::bans::Refusal;
 use quartzhall::dispatch::{self, Answer, Command, Core, Event, Member, Piece, Readiness, Work};
-use quartzhall::hearsay::Hearsay;
+use quartzhall::gossip::Gossip;
 use quartzhall::notes::Notes;
 use quartzhall::settings::{Profile, Site};
 use quartzhall_recording::{Key, Record, Table};
@@ -751,7 +751,7 @@
     };
     let pair = || {
         let mut bench = Bench::new(1_000);
-        bench.core.take_hearsay(Hearsay::new(100, 0.0028));
+        bench.core.set_gossip(Gossip::new(100, 0.0028));
         bench
     };
     let (mut one, mut other) = (pair(), pair());
--- a/tests/unit/hearsay.rs
+++ b/tests/unit/gossip.rs
@@ -7,25 +7,25 @@
     Load { in_flight: Some(in_flight), memory: Some(0.5), ..Load::default() }
 }
 
-fn hearsay() -> Hearsay {
-    Hearsay::new(100, 0.0028)
+fn gossip() -> Gossip {
+    Gossip::new(100, 0.0028)
 }
 
-fn told(of: &mut Hearsay, now: Time) -> Vec<u8> {
+fn told(of: &mut Gossip, now: Time) -> Vec<u8> {
     (0..20).for_each(|_| of.request());
     of.message(now).unwrap_or_default()
 }
 
 #[test]
 fn a_surprise_is_told_and_what_is_as_believed_is_not() {
-    let (mut one, mut other) = (hearsay(), hearsay());
+    let (mut one, mut other) = (gossip(), gossip());
     one.report(START, 7, 0xabcdef12, &load(1.0));
     assert_eq!(told(&mut one, START), []);
     one.report(START, 7, 0xabcdef12, &load(30.0));
     let message = told(&mut one, START);
-    let words = other.hear(START + 30_000, 4, &message).unwrap();
-    assert_eq!(words, [Word { key: 0xcdef12, load: Some(load(30.0)) }]);
-    other.heard(START + 30_000, 3, &words[0]);
+    let observations = other.hear(START + 30_000, 4, &message).unwrap();
+    assert_eq!(observations, [Observation { key: 0xcdef12, load: Some(load(30.0)) }]);
+    other.heard(START + 30_000, 3, &observations[0]);
     other.report(START + 40_000, 3, 0xabcdef12, &load(29.0));
     assert_eq!(told(&mut other, START + 40_000), [], "all have heard that");
     one.report(START + BELIEVED + 1, 7, 0xabcdef12, &load(30.0));
@@ -34,15 +34,21 @@
 
 #[test]
 fn failures_come_first_where_not_all_can_be_afforded() {
-    let (mut one, mut other) = (hearsay(), hearsay());
+    let (mut one, mut other) = (gossip(), gossip());
     (0..20).for_each(|server| one.report(START, server, u64::from(server), &load(50.0)));
     one.failure(99);
     (0..4).for_each(|_| one.request());
-    let words = other.hear(START, 0, &one.message(START).unwrap()).unwrap();
-    assert!(words.len() < 10 && words[0] == Word { key: 99, load: None }, "{words:?}");
+    let observations = other.hear(START, 0, &one.message(START).unwrap()).unwrap();
+    assert!(
+        observations.len() < 10 && observations[0] == Observation { key: 99, load: None },
+        "{observations:?}"
+    );
     (0..60).for_each(|server| one.failure(server));
-    let words = other.hear(START + 20_000, 0, &one.message(START + 20_000).unwrap()).unwrap();
-    assert!(words.len() < 10 && words.iter().all(|word| word.load.is_none()), "{words:?}");
+    let observations = other.hear(START + 20_000, 0, &one.message(START + 20_000).unwrap()).unwrap();
+    assert!(
+        observations.len() < 10 && observations.iter().all(|observation| observation.load.is_none()),
+        "{observations:?}"
+    );
     one.failure(99);
     assert_eq!(one.message(START), None, "nothing is left to spend");
 }
@@ -50,7 +56,7 @@
 #[test]
 fn telling_costs_no_more_than_its_part_of_the_requests() {
     for (failures, least, most) in [(false, 0.001, 0.0021), (true, 0.005, 0.0101)] {
-        let mut one = hearsay();
+        let mut one = gossip();
         let mut bytes = 0;
         for request in 0..1000 {
             one.request();
@@ -67,7 +73,7 @@
 
 #[test]
 fn what_is_spoilt_stale_or_repeated_is_dropped_and_counted() {
-    let (mut one, mut other) = (hearsay(), hearsay());
+    let (mut one, mut other) = (gossip(), gossip());
     one.failure(5);
     let message = told(&mut one, START);
     assert_eq!(other.hear(START + 3_000_000, 1, &message), Err(Dropped::Stale));
@@ -89,9 +95,9 @@
         message.extend(stamp.to_be_bytes());
         message.extend(&bytes);
         let all = |message: &[u8]| {
-            hearsay().hear(START, 1, message).into_iter().flatten().all(|word| {
-                let load = word.load.unwrap_or_default();
-                word.key <= 0x00ff_ffff
+            gossip().hear(START, 1, message).into_iter().flatten().all(|observation| {
+                let load = observation.load.unwrap_or_default();
+                observation.key <= 0x00ff_ffff
                     && load.in_flight.unwrap_or(0.0) <= MOST_IN_FLIGHT
                     && load.memory.unwrap_or(0.0) <= 1.0
             })
