What came before a stream's break is sent: a client of a broken stream was left with nothing

Test: a first event and the break at hand at once; before, the client got no byte. Change: the break is told one turn later, when what came before was written. Streams that break later lose none of their last events either.

--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -97,8 +97,8 @@
 
     /// Tells it to end, as the platform does; an error where it does not end well.
     pub async fn end(mut self) -> Result<(), String> {
-        let id = self.id.to_string();
-        let told = Command::new("kill").args(["-TERM", &id]).status().await;
+        let id = self.id;
+        let told = Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().await;
         told.map_err(|error| error.to_string())?;
         let name = self.config.display().to_string();
         match timeout(ENDS_WITHIN, self.child.wait()).await {
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -136,7 +136,7 @@
     let (ticket, answered) = shared.door.ask(ask, work).await;
     match answered.await {
         Ok(Answer::Served(pieces)) => {
-            let body = Body::new(Pieces { pieces, ended: false, exit, _ticket: ticket });
+            let body = Body::new(Pieces { pieces, ended: false, broken: false, exit, _ticket: ticket });
             ([(header::CONTENT_TYPE, "text/event-stream"), (header::CACHE_CONTROL, "no-cache")], body)
                 .into_response()
         }
@@ -152,6 +152,7 @@
 struct Pieces {
     pieces: mpsc::Receiver<Piece>,
     ended: bool,
+    broken: bool, // it broke, and what came before has had its turn to be sent
     exit: Option<SharedExit>,
     _ticket: Ticket,
 }
@@ -181,7 +182,13 @@
                 self.ended = true;
                 Poll::Ready(None)
             }
-            // The stream broke: an error makes the server close without the last chunk.
+            // The stream broke. An error makes the server close the connection at once, with what it has not sent yet: where
+            // the break comes right behind the first event, the client would get no answer at all.
+            Poll::Ready(None) if !self.broken => {
+                self.broken = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
             Poll::Ready(None) => Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into()))),
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,10 +2,18 @@
 
 mod stand;
 
-use stand::{Fleet, Way, ANSWER};
+use quartzhall::dispatch::{self, Answer, Event, Piece};
+use quartzhall::fronts::room::Rooms;
+use quartzhall::fronts::{listener, platform, Course};
+use quartzhall::places::Places;
+use quartzhall::settings::{Profile, Site};
+use slog::{o, Discard, Logger};
+use stand::{Fleet, Way, ANSWER, PROFILE};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
 
 const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: NAME\r\nX-Qos: return-request\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: 2000\r\nX-Props: prefix=5c0f,prompt_len=500,prefix_len=200,max_out=100\r\n";
 
@@ -237,3 +245,28 @@
     assert!(fleet.ledger.lock().unwrap().sent.is_empty());
     fleet.nothing_left().await;
 }
+
+/// A stream that breaks right behind its first event, before any of it was sent: the client is sent what there was, and the
+/// connection ends without the last chunk.
+#[tokio::test]
+async fn what_came_before_a_break_is_sent() {
+    let log = Logger::root(Discard, o!());
+    let profile: Profile = miniserde::json::from_str(PROFILE).unwrap();
+    let (door, mut inbox) = dispatch::door(Arc::new(Site::new(&profile).unwrap()));
+    let taken = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = taken.local_addr().unwrap();
+    let (_serving, course) = watch::channel(Course::Serving);
+    let routes = platform::routes(door, Rooms::new(1_000), log.clone());
+    tokio::spawn(listener::serve(taken, routes, Places::new(4), course, None, log));
+    let mut client = Client(TcpStream::connect(address).await.unwrap());
+    client.write(&request("b")).await;
+    // The test is in the core's place.
+    let Some(Event::Request { answer, .. }) = inbox.next().await else { panic!("no request") };
+    let (pieces, stream) = mpsc::channel(4);
+    pieces.try_send(Piece::Data(ANSWER[0].into())).unwrap();
+    drop(pieces);
+    answer.send(Answer::Served(stream)).unwrap();
+    let text = client.read_until("").await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.contains(ANSWER[0]), "{text:?}");
+    assert!(!text.ends_with("0\r\n\r\n"), "{text:?}");
+}
