An id of which something may have run is not refused when a client comes again with it

In the logs such a second one came 13 to 200 ms after the first had ended well or been cancelled, and servers call it bad (400). Change: the table keeps the names of requests that may have run for 30 s after their end, 8,192 at the most; where repeats do harm such an id is answered as a duplicate (409), at once and before the bound on what is held. Requests that may be repeated freely are served as before. The test fails without it. Tests of the program start it in one way.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -282,6 +282,13 @@
             let _ = answer.send(Answer::Duplicate);
             return;
         }
+        // A client that comes again with an id of which something may have run is never told that it may try again.
+        let class = self.site.settings.classes.get(ask.class);
+        let is_safe = class.is_some_and(|class| class.effect == Effect::Safe);
+        if !is_safe && self.requests.may_have_run(&work.name) {
+            let _ = answer.send(Answer::Duplicate);
+            return;
+        }
         // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
         if self.requests.len() >= self.most_held {
             debug!(self.log, "refused: as much is held as may be"; "held" => self.requests.len());
@@ -291,7 +298,6 @@
         self.gossip.iter_mut().for_each(Gossip::request);
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
             "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
-        let class = self.site.settings.classes.get(ask.class);
         let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
         self.note(|notes| notes.arrival(now, &ask));
         self.requests.enter(id, Held::new(now, &ask, work, once, answer));
@@ -495,6 +501,6 @@
             let name = held.work.name.clone();
             self.commands.push(Command::Release { id, name, addresses });
         }
-        self.requests.forget_if_over(id);
+        self.requests.forget_if_over(now, id);
     }
 }
--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -3,7 +3,7 @@
 use super::messages::{Answer, Work};
 use crate::api::{Ask, RequestId, Role, ServerId, Status, Time};
 use bytes::Bytes;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -12,6 +12,10 @@
 /// ... and one that the module knows of, which lets it go sooner by itself, after this part.
 const KNOWN_TENTHS: Time = 9;
 
+/// Names of requests that may have run are known for so long after their end, and so many of them.
+const KNOWN_AFTER: Time = 30_000_000;
+const MOST_KNOWN: usize = 8_192;
+
 /// One attempt for a request.
 pub(super) struct Attempt {
     pub server: ServerId,
@@ -151,6 +155,8 @@
 pub(super) struct Table {
     requests: BTreeMap<RequestId, Held>,
     names: HashSet<Arc<str>>,
+    may_have_run: HashSet<Arc<str>>,   // names of some that are over
+    ended: VecDeque<(Time, Arc<str>)>, // the same, oldest first
 }
 
 impl Table {
@@ -162,6 +168,22 @@
         self.names.contains(name)
     }
 
+    /// Whether a request of this name is over of late and may have run.
+    pub fn may_have_run(&self, name: &str) -> bool {
+        self.may_have_run.contains(name)
+    }
+
+    fn note_end(&mut self, now: Time, name: Arc<str>) {
+        if self.may_have_run.insert(name.clone()) {
+            self.ended.push_back((now, name));
+        }
+        let is_old = |at: Time| at.saturating_add(KNOWN_AFTER) < now;
+        while self.ended.front().is_some_and(|(at, _)| is_old(*at)) || self.ended.len() > MOST_KNOWN {
+            let Some((_, name)) = self.ended.pop_front() else { break };
+            self.may_have_run.remove(&name);
+        }
+    }
+
     pub fn enter(&mut self, id: RequestId, held: Held) {
         self.names.insert(held.work.name.clone());
         self.requests.insert(id, held);
@@ -193,12 +215,15 @@
     }
 
     /// Forgets a request when all of it is over, and tells who wants to know whether it may have run.
-    pub fn forget_if_over(&mut self, id: RequestId) {
+    pub fn forget_if_over(&mut self, now: Time, id: RequestId) {
         if !self.requests.get(&id).is_some_and(Held::is_over) {
             return;
         }
         let Some(held) = self.requests.remove(&id) else { return };
         self.names.remove(&held.work.name);
+        if held.ran {
+            self.note_end(now, held.work.name.clone());
+        }
         if let Some(fate) = held.fate {
             let _ = fate.send(held.ran);
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -803,3 +803,36 @@
     let distinct: BTreeSet<&Arc<str>> = released.iter().collect();
     assert_eq!(distinct.len(), released.len());
 }
+
+/// A client that comes again with an id of which something may have run is neither served nor refused, where repeats do harm:
+/// a refusal would say that trying again is harmless. What only was read may be refused; and ids are forgotten in time.
+#[test]
+fn an_id_that_may_have_run_is_not_refused_when_it_comes_again() {
+    for (class, harmful) in [(0, false), (1, true)] {
+        let mut bench = Bench::new(1);
+        let _served = bench.ask(1, class, "again");
+        bench.ended(1, 0, Status::Read);
+        bench.hear(Event::First { id: 1, attempt: 1, stream: mpsc::channel(1).1 });
+        bench.ended(1, 1, Status::Ok);
+        assert_eq!(bench.core.open(), 0);
+        // As much is held as may be: another one is refused.
+        let _other = bench.ask(2, class, "other");
+        assert!(matches!(bench.ask(3, class, "third").try_recv(), Ok(Answer::Refused(_))));
+        let again = bench.ask(4, class, "again").try_recv();
+        assert_eq!(matches!(again, Ok(Answer::Duplicate)), harmful, "{again:?}");
+        assert_eq!(matches!(again, Ok(Answer::Refused(_))), !harmful, "{again:?}");
+    }
+    let mut bench = Bench::new(1);
+    let run = |bench: &mut Bench, id: u64, name: &str| {
+        let answered = bench.ask(id, 1, name);
+        bench.ended(id, 0, Status::Read);
+        bench.hear(Event::First { id, attempt: 1, stream: mpsc::channel(1).1 });
+        bench.ended(id, 1, Status::Ok);
+        drop(answered);
+    };
+    run(&mut bench, 1, "old");
+    bench.pass(31_000 * MS);
+    run(&mut bench, 2, "new");
+    let mut again = bench.ask(3, 1, "old");
+    assert!(again.try_recv().is_err(), "a request as any other, by then");
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -36,6 +36,12 @@
 /// A program that does not outlive its test.
 struct Running(Child);
 
+impl Running {
+    fn start(command: &mut Command) -> Running {
+        Running(command.spawn().unwrap())
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.0.kill();
@@ -50,6 +56,13 @@
     )
 }
 
+/// The program's command to serve with a configuration.
+fn serve(config: &File) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command.args(["serve", "--config"]).arg(&config.0);
+    command
+}
+
 #[test]
 fn bad_files_end_it_with_one_line() {
     let good = config("127.0.0.1:0", "127.0.0.1:1", "null");
@@ -63,13 +76,7 @@
     ];
     for (name, text, sessions) in cases {
         let (config, sessions) = (File::new(name, &text), File::new(&format!("{name}-ws"), &sessions));
-        let output = Command::new(PROGRAM)
-            .args(["serve", "--config"])
-            .arg(&config.0)
-            .arg("--websocket")
-            .arg(&sessions.0)
-            .output()
-            .unwrap();
+        let output = serve(&config).arg("--websocket").arg(&sessions.0).output().unwrap();
         let error = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{name}");
         let lines = error.lines().filter(|line| line.starts_with("quartzhall: ")).count();
@@ -148,15 +155,7 @@
     let (listen, sessions, agent) = (free_address().await, free_address().await, free_address().await);
     let file = File::new("run", &config(&listen, &discovery, "null"));
     let second = File::new("run-ws", &format!(r#"{{"listen":"{sessions}","agent_check":"{agent}"}}"#));
-    let child = Command::new(PROGRAM)
-        .args(["serve", "--config"])
-        .arg(&file.0)
-        .arg("--websocket")
-        .arg(&second.0)
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
-    let running = Running(child);
+    let running = Running::start(serve(&file).arg("--websocket").arg(&second.0).stderr(Stdio::null()));
     until_ready(&listen, "200").await;
     assert!(calls.load(Ordering::SeqCst) >= 2, "nonsense was tried again");
     assert!(ask(&sessions, "/health").await.starts_with("HTTP/1.1 200"));
@@ -199,9 +198,7 @@
     let (second, asked) = discovery_with(3, both).await;
     let listen = free_address().await;
     let file = File::new("hup", &config(&listen, &first, "null"));
-    let mut command = Command::new(PROGRAM);
-    command.args(["serve", "--config"]).arg(&file.0).stderr(Stdio::piped());
-    let mut running = Running(command.spawn().unwrap());
+    let mut running = Running::start(serve(&file).stderr(Stdio::piped()));
     let mut lines = BufReader::new(running.0.stderr.take().unwrap()).lines();
     until_ready(&listen, "503").await;
 
@@ -238,8 +235,7 @@
     let (discovery, asked) = discovery_with(41, "").await;
     let listen = free_address().await;
     let file = File::new("known", &config(&listen, &discovery, known));
-    let mut command = Command::new(PROGRAM);
-    let running = Running(command.args(["serve", "--config"]).arg(&file.0).spawn().unwrap());
+    let running = Running::start(&mut serve(&file));
     until_ready(&listen, "200").await;
     while asked.lock().unwrap().is_empty() {
         tokio::task::yield_now().await;
@@ -272,13 +268,7 @@
             let text = config(&listen, discovery, known).replacen(r#""balancers":1"#, &set, 1);
             let file = File::new(&format!("ready-{at}-{mode}"), &text);
             let began = std::time::Instant::now();
-            let child = Command::new(PROGRAM)
-                .args(["serve", "--config"])
-                .arg(&file.0)
-                .stderr(Stdio::null())
-                .spawn()
-                .unwrap();
-            let running = Running(child);
+            let running = Running::start(serve(&file).stderr(Stdio::null()));
             until_ready(&listen, "200").await;
             assert!(began.elapsed() < Duration::from_secs(10), "{discovery}, {mode}: {:?}", began.elapsed());
             signal(&running, "TERM");
@@ -297,9 +287,7 @@
     let listen = free_address().await;
     let good = config(&listen, &first, "null");
     let file = File::new("broken", &good);
-    let mut command = Command::new(PROGRAM);
-    command.args(["serve", "--config"]).arg(&file.0).stderr(Stdio::piped());
-    let mut running = Running(command.spawn().unwrap());
+    let mut running = Running::start(serve(&file).stderr(Stdio::piped()));
     let mut lines = BufReader::new(running.0.stderr.take().unwrap()).lines();
     until_ready(&listen, "200").await;
     let next = config(&listen, &second, "null").replace("status-query", "balance-query");
