The capacity page is made from committed results; the last state as measured

docs/CAPACITY.md has its tables from crates/scale/results (quartzhall-scale table; make check fails where they differ, and plays a small scale run).

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 	cargo test --locked --workspace
 	cargo build --locked --workspace --bins
 	target/debug/quartzhall-scale run crates/scale/scenarios/ci.toml --out target/scale-ci.json
+	target/debug/quartzhall-scale table --check
 
 format:
 	cargo fmt --all
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -189,8 +189,17 @@
     }
 }
 
+/// An argument as it is kept: of a path outside the tree only the last part, for the rest is this machine's.
+fn without_machine(argument: String) -> String {
+    let path = Path::new(&argument);
+    match path.file_name().filter(|_| path.is_absolute()) {
+        Some(name) => name.to_string_lossy().into_owned(),
+        None => argument,
+    }
+}
+
 fn keep<T: Serialize>(path: &Path, results: T) -> Result<(), String> {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<String> = std::env::args().skip(1).map(without_machine).collect();
     let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_secs());
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     results::write(path, &Run { command: arguments.join(" "), commit: commit(), at, cores, results })
