--- a/crates/scale/src/core_steps.rs
+++ b/crates/scale/src/core_steps.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use quartzhall::api::{Ask, Entry, Load, RequestId, ServerId, State, Status, Time};
-use quartzhall::dispatch::{Answer, Command, Core, Event, Member, Work};
+use quartzhall::dispatch::{Answer, Command, Core, EndReason, Event, Member, Work};
 use quartzhall::gossip::Gossip;
 use quartzhall::settings::{hash, Config, Site};
 use rand::{Rng, SeedableRng};
@@ -173,10 +173,10 @@
                 continue;
             }
             let ended =
-                Event::Ended { id, attempt: 0, status: Status::Read, note: 0.0, written: 0.0, load: None };
+                Event::Ended { id, attempt: 0, reason: EndReason::Read, note: 0.0, written: 0.0, load: None };
             self.time("core: read's end", ended);
             self.time("core: client left, lease let go", Event::Gone { id, fate: None });
-            self.core.hear(self.now, Event::Released(id));
+            self.core.hear(self.now, Event::Released { id, done: true });
         }
     }
 
@@ -199,7 +199,10 @@
                 continue;
             }
             let (status, note, written, load) = (Status::Read, 0.0, 0.0, None);
-            self.core.hear(self.now, Event::Ended { id, attempt: 0, status, note, written, load });
+            self.core.hear(
+                self.now,
+                Event::Ended { id, attempt: 0, reason: EndReason::of(status), note, written, load },
+            );
             let commands = self.core.commands();
             if !is_sent(&self.ask_servers(commands), id, 1) {
                 continue;
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -324,7 +324,7 @@
         }
         for action in actions {
             let note = |digest: u64, byte: u8| (digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-            let text = format!("{at} {} {action:?}", self.now);
+            let text = format!("{at} {} {}", self.now, decision(&action));
             self.report.digest = text.bytes().fold(self.report.digest, note);
             self.act(at, action);
         }
@@ -432,7 +432,7 @@
             Action::Cancel { id, attempt } => {
                 self.end(id, attempt, Status::Cancelled, Step::AttemptEnd, 0.0);
             }
-            Action::Refuse { id, .. } | Action::Fail { id } => {
+            Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.over = true;
                     self.report.given_up += 1;
@@ -565,3 +565,14 @@
         }
     }
 }
+
+/// What a router decides, as the digests have it: without the reason that it gives for the log.
+fn decision(action: &Action) -> String {
+    match action {
+        Action::Refuse { id, retry_after, why: _ } => {
+            format!("Refuse {{ id: {id}, retry_after: {retry_after} }}")
+        }
+        Action::Fail { id, why: _ } => format!("Fail {{ id: {id} }}"),
+        action => format!("{action:?}"),
+    }
+}
--- a/examples/recording_cost.rs
+++ b/examples/recording_cost.rs
@@ -5,8 +5,8 @@
 //! Each request goes through both stages to its good end. Printed are microseconds a request for each round and mode,
 //! then the medians and what recording adds.
 
-use quartzhall::api::{Ask, Entry, Role, State, Status, Time};
-use quartzhall::dispatch::{Core, Event, Member, Work};
+use quartzhall::api::{Ask, Entry, Role, State, Time};
+use quartzhall::dispatch::{Core, EndReason, Event, Member, Work};
 use quartzhall::notes::Notes;
 use quartzhall::settings::{Profile, Site};
 use quartzhall_recording::{Key, Recorder};
@@ -49,11 +49,11 @@
         let (answer, _answered) = oneshot::channel();
         core.hear(now, Event::Request { ask, work, answer });
         let ended =
-            |attempt, status| Event::Ended { id, attempt, status, note: 2e3, written: 1e2, load: None };
-        core.hear(now + 500, ended(0, Status::Read));
+            |attempt, reason| Event::Ended { id, attempt, reason, note: 2e3, written: 1e2, load: None };
+        core.hear(now + 500, ended(0, EndReason::Read));
         let (_pieces, stream) = mpsc::channel(1);
         core.hear(now + 900, Event::First { id, attempt: 1, stream });
-        core.hear(now + 1500, ended(1, Status::Ok));
+        core.hear(now + 1500, ended(1, EndReason::Served));
         core.commands();
         if let Some(recorder) = &recorder {
             core.notes().into_iter().for_each(|note| recorder.note(note));
--- a/src/api.rs
+++ b/src/api.rs
@@ -232,6 +232,23 @@
     Rejected,
 }
 
+/// Why a router gives a request up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GiveUp {
+    /// Nothing is likely to serve it in time, and load is above usual.
+    Overload,
+    /// Its read state may be held no longer.
+    StateHeldTooLong,
+    /// No further attempt is allowed.
+    NoAttemptLeft,
+    /// Its time, or the router's own, is up.
+    OutOfTime,
+    /// It may have run and must not run twice.
+    MustNotRepeat,
+    /// Its class is not known.
+    UnknownClass,
+}
+
 /// What a router hears.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -324,11 +341,15 @@
         id: RequestId,
         /// Advice on when to come back; 0: none.
         retry_after: Time,
+        /// Why.
+        why: GiveUp,
     },
     /// Final answer that promises nothing.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        why: GiveUp,
     },
     /// Let go of every state that is held for the request.
     Release {
--- a/src/bin/quartzhall-simhost.rs
+++ b/src/bin/quartzhall-simhost.rs
@@ -167,10 +167,10 @@
             Action::Cancel { id, attempt } => {
                 format!(r#""drop_attempt","who":{who},"rid":{id},"trial":{attempt}"#)
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 format!(r#""push_back","who":{who},"rid":{id},"retry_in":{:?}"#, millis(retry_after))
             }
-            Action::Fail { id } => format!(r#""lose","who":{who},"rid":{id}"#),
+            Action::Fail { id, .. } => format!(r#""lose","who":{who},"rid":{id}"#),
             Action::Release { id } => format!(r#""unhold","who":{who},"rid":{id}"#),
             Action::Wake { at } => {
                 format!(r#""wake_at","who":{who},"key_back":"wake","time":{:?}"#, millis(at))
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -2,6 +2,9 @@
 
 use super::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
 use super::nodes::{News, Nodes};
+use super::reasons::{CloseReason, EndReason, ReleaseReason};
+use super::report::{Kind, Report};
+use super::rules::Rule;
 use super::table::{Attempt, Ended, Held, Table};
 use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, Settings, State, Status, Time};
 use crate::bans::Marks;
@@ -56,6 +59,7 @@
     commands: Vec<Command>,
     notes: Option<Notes>,
     gossip: Option<Gossip>,
+    report: Report,
     pub(super) log: Logger,
 }
 
@@ -81,6 +85,7 @@
             commands: Vec::new(),
             notes: None,
             gossip: None,
+            report: Report::new(now),
             log,
         };
         core.step(now, api::Event::Wake);
@@ -151,11 +156,15 @@
             Event::Request { ask, work, answer } => self.request(now, ask, work, answer),
             Event::Gone { id, fate } => self.gone(now, id, fate),
             Event::First { id, attempt, stream } => self.first(now, id, attempt, stream),
-            Event::Ended { id, attempt, status, note, written, load } => {
-                self.note(|notes| notes.ended(now, id, attempt, status, note, written));
-                self.ended(now, id, attempt, status, note, load)
+            Event::Ended { id, attempt, reason, note, written, load } => {
+                self.note(|notes| notes.ended(now, id, attempt, reason.status(), note, written));
+                self.ended(now, id, attempt, reason, note, load)
             }
-            Event::Released(id) => {
+            Event::Released { id, done } => {
+                if !done {
+                    self.report.count(now, Kind::ReleaseFailed);
+                    warn!(self.log, "no server has taken a release"; "id" => id);
+                }
                 if let Some(held) = self.requests.get_mut(id) {
                     held.releasing = false;
                     held.idle_since = now;
@@ -202,6 +211,7 @@
         }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
+            self.report.summarize_at(now, self.requests.len(), &self.log);
             for id in self.requests.ids_to_look_after() {
                 self.sweep(now, id);
             }
@@ -221,6 +231,11 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Logs all counts that are not logged yet.
+    pub fn summarize(&mut self) {
+        self.report.summarize(self.requests.len(), &self.log);
+    }
+
     /// Requests in the table.
     pub fn open(&self) -> usize {
         self.requests.len()
@@ -279,21 +294,18 @@
         let id = ask.id;
         // An id that is in flight is never a second request: nodes know requests by it alone.
         if self.requests.is_in_flight(&work.name) {
-            let _ = answer.send(Answer::Duplicate);
-            return;
+            return self.turn_away(now, &work.name, CloseReason::InFlight, answer, Answer::Duplicate);
         }
         // A client that comes again with an id of which something may have run is never told that it may try again.
         let class = self.site.settings.classes.get(ask.class);
         let is_safe = class.is_some_and(|class| class.effect == Effect::Safe);
         if !is_safe && self.requests.may_have_run(&work.name) {
-            let _ = answer.send(Answer::Duplicate);
-            return;
+            return self.turn_away(now, &work.name, CloseReason::MayHaveRun, answer, Answer::Duplicate);
         }
         // More than may be held never reaches the module. Nothing was sent, so a refusal is true.
         if self.requests.len() >= self.most_held {
-            debug!(self.log, "refused: as much is held as may be"; "held" => self.requests.len());
-            let _ = answer.send(Answer::Refused(Duration::from_micros(self.site.settings.max_retry_after)));
-            return;
+            let refused = Answer::Refused(Duration::from_micros(self.site.settings.max_retry_after));
+            return self.turn_away(now, &work.name, CloseReason::TableFull, answer, refused);
         }
         self.gossip.iter_mut().for_each(Gossip::request);
         debug!(self.log, "request"; "id" => id, "name" => %work.name, "class" => ask.class,
@@ -304,12 +316,33 @@
         self.step(now, api::Event::Request(ask));
     }
 
+    /// Counts and logs that a rule was about to be broken.
+    fn violation(&mut self, now: Time, rule: Rule, id: RequestId) {
+        if self.report.count(now, Kind::Violation(rule)) {
+            let name = self.requests.get(id).map(|held| held.work.name.to_string());
+            warn!(self.log, "violation"; "rule" => ?rule, "id" => id, "name" => name);
+        }
+    }
+
+    /// Answers a request that does not enter the table.
+    fn turn_away(
+        &mut self, now: Time, name: &str, reason: CloseReason, to: oneshot::Sender<Answer>, answer: Answer,
+    ) {
+        if self.report.count(now, Kind::Close(reason)) {
+            info!(self.log, "request turned away"; "name" => name, "reason" => ?reason,
+                "open" => self.requests.len());
+        }
+        let _ = to.send(answer);
+    }
+
     fn gone(&mut self, now: Time, id: RequestId, fate: Option<oneshot::Sender<bool>>) {
         let Some(held) = self.requests.get_mut(id) else { return };
         held.fate = fate;
         // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
         if !std::mem::replace(&mut held.closed, true) {
             held.answer = None;
+            self.report.count(now, Kind::Close(CloseReason::ClientLeft));
+            debug!(self.log, "client left"; "id" => id);
             self.note(|notes| notes.over(now, id, Noted::Left));
             self.step(now, api::Event::Gone { id });
         }
@@ -334,11 +367,12 @@
     }
 
     fn ended(
-        &mut self, now: Time, id: RequestId, attempt: u32, status: Status, note: f64, load: Option<Load>,
+        &mut self, now: Time, id: RequestId, attempt: u32, reason: EndReason, note: f64, load: Option<Load>,
     ) {
+        let status = reason.status();
         let Some(held) = self.requests.get_mut(id) else { return };
         let role = |server| self.nodes.get(server).map(|node| node.role);
-        let Some(Ended { server, streamed }) = held.ended(now, attempt, status, note, role) else { return };
+        let Some(Ended { server, streamed }) = held.ended(now, attempt, reason, note, role) else { return };
         if let Some(notes) = self.notes.as_mut().filter(|_| streamed) {
             // By its good end, or by its break; its client may have left before.
             notes.over(now, id, if status == Status::Ok { Noted::Served } else { Noted::Broken });
@@ -354,9 +388,10 @@
         }
         // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
         if status == Status::Rejected {
-            self.close(now, id, Answer::Rejected);
+            self.close(now, id, CloseReason::BadRequest, Answer::Rejected);
         }
         let closed = self.requests.get(id).is_some_and(|held| held.closed);
+        self.log_end(now, id, attempt, reason);
         debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
             "status" => ?status, "note" => note, "closed" => closed);
         let failed = matches!(status, Status::Reset | Status::Error | Status::ConnectFailed);
@@ -365,6 +400,19 @@
         self.settle(now, id);
     }
 
+    /// Logs why an attempt ended, within its budget; the ordinary reasons are only counted.
+    fn log_end(&mut self, now: Time, id: RequestId, attempt: u32, reason: EndReason) {
+        let may_log = self.report.count(now, Kind::End(reason));
+        let held = self.requests.get(id).filter(|_| may_log && !reason.is_ordinary());
+        let Some((held, ended)) = held.and_then(|held| Some((held, held.attempts.get(attempt as usize)?)))
+        else {
+            return;
+        };
+        let server = self.nodes.get(ended.server).map(|node| node.name.to_string());
+        info!(self.log, "attempt ended early"; "id" => id, "name" => %held.work.name, "attempt" => attempt,
+            "server" => server, "reason" => ?reason, "after_ms" => now.saturating_sub(ended.sent) / 1000);
+    }
+
     fn members(&mut self, now: Time, complete: bool, members: Vec<Member>) {
         let news = self.nodes.list(complete, members, &self.log);
         self.note_nodes(now, &news);
@@ -410,12 +458,13 @@
                         self.commands.push(Command::Cancel { id, attempt });
                     }
                 }
-                Action::Refuse { id, retry_after } => {
-                    self.close(now, id, Answer::Refused(Duration::from_micros(retry_after)));
+                Action::Refuse { id, retry_after, why } => {
+                    let answer = Answer::Refused(Duration::from_micros(retry_after));
+                    self.close(now, id, CloseReason::Refused(why), answer);
                     self.settle(now, id);
                 }
-                Action::Fail { id } => {
-                    self.close(now, id, Answer::Failed);
+                Action::Fail { id, why } => {
+                    self.close(now, id, CloseReason::Failed(why), Answer::Failed);
                     self.settle(now, id);
                 }
                 Action::Release { id } => {
@@ -443,15 +492,22 @@
         let attempt = held.attempts.len() as u32;
         let node = self.nodes.get(server).filter(|node| node.state == State::Ready);
         let live = held.is_open() && now < held.deadline;
-        held.attempts.push(Attempt { server, out: true, reached: false });
+        let before = held.attempts.last().map(|it| it.ended);
+        held.attempts.push(Attempt { server, out: true, reached: false, sent: now, ended: None });
         let Some(node) = node.filter(|_| live) else {
             // What the rules forbid is not sent, whoever asks for it.
-            warn!(self.log, "a send that the rules forbid"; "id" => id, "server" => server);
-            let (status, note, load) = (Status::Moot, 0.0, None);
-            return self.ended(now, id, attempt, status, note, load);
+            let rule = if live { Rule::Drain } else { Rule::RequestOver };
+            self.violation(now, rule, id);
+            return self.ended(now, id, attempt, EndReason::NotSent, 0.0, None);
         };
         let timeout = if timeout == 0 { Time::MAX } else { timeout }.min(held.deadline - now);
         debug!(self.log, "send"; "id" => id, "attempt" => attempt, "server" => server);
+        // One that follows a good read is the second stage, and one beside another that is out is a hedge.
+        let retries = before.flatten().filter(|reason| *reason != EndReason::Read);
+        if let Some(after) = retries.filter(|after| self.report.count(now, Kind::Retry(*after))) {
+            info!(self.log, "retry"; "id" => id, "name" => %held.work.name, "attempt" => attempt,
+                "server" => %node.name, "after" => ?after, "left_ms" => (held.deadline - now) / 1000);
+        }
         if let Some(notes) = &mut self.notes {
             notes.sent(now, id, attempt, server);
         }
@@ -466,9 +522,13 @@
     }
 
     /// The one place for final answers but streams.
-    fn close(&mut self, now: Time, id: RequestId, answer: Answer) {
+    fn close(&mut self, now: Time, id: RequestId, reason: CloseReason, answer: Answer) {
         let Some(held) = self.requests.get_mut(id).filter(|held| held.is_open()) else { return };
         held.closed = true;
+        if self.report.count(now, Kind::Close(reason)) {
+            info!(self.log, "request closed"; "id" => id, "name" => %held.work.name, "reason" => ?reason,
+                "attempts" => held.attempts.len(), "last_end" => ?held.attempts.last().and_then(|it| it.ended));
+        }
         debug!(self.log, "closed"; "id" => id, "answer" => ?answer);
         let noted = match &answer {
             Answer::Refused(_) => Noted::Refused,
@@ -485,8 +545,8 @@
         let Some(held) = self.requests.get(id) else { return };
         if held.is_open() && now >= held.deadline {
             // The module ends requests in time by itself; this guards the client against a mistake there.
-            warn!(self.log, "a deadline passed without an answer"; "id" => id);
-            self.close(now, id, Answer::Failed);
+            self.violation(now, Rule::FinalAnswer, id);
+            self.close(now, id, CloseReason::DeadlinePassed, Answer::Failed);
             self.step(now, api::Event::Gone { id });
         }
         self.settle(now, id);
@@ -495,10 +555,15 @@
     /// Lets go of what is held where nothing needs it, and forgets the request when all of it is over.
     fn settle(&mut self, now: Time, id: RequestId) {
         let Some(held) = self.requests.get_mut(id) else { return };
+        let (out, over) = (held.out(), !held.is_open());
         if held.lets_go(now, self.site.settings.release_within) {
             // Any node passes it on.
             let addresses = self.nodes.addresses(held.tried());
             let name = held.work.name.clone();
+            let reason = if over { ReleaseReason::NotNeeded } else { ReleaseReason::HeldTooLong };
+            if self.report.count(now, Kind::Release(reason)) && !over {
+                info!(self.log, "release"; "id" => id, "name" => %name, "reason" => ?reason, "attempt_out" => out);
+            }
             self.commands.push(Command::Release { id, name, addresses });
         }
         self.requests.forget_if_over(now, id);
--- a/src/dispatch/messages.rs
+++ b/src/dispatch/messages.rs
@@ -1,6 +1,7 @@
 //! What goes in and out of the core: requests, answers, events and commands. No wire, no socket.
 
-use crate::api::{Ask, Entry, Load, RequestId, ServerId, Status};
+use super::reasons::EndReason;
+use crate::api::{Ask, Entry, Load, RequestId, ServerId};
 use crate::bans::{Marks, Refusal};
 use crate::moving::Half;
 use crate::settings::Site;
@@ -95,17 +96,22 @@
         id: RequestId,
         /// Which of its attempts.
         attempt: u32,
-        /// How.
-        status: Status,
-        /// Tokens found kept, or 1 with `Full` where no state was there.
+        /// Why, and with what outcome.
+        reason: EndReason,
+        /// Tokens found kept, or 1 where no state was there.
         note: f64,
         /// Tokens of the answer, where that was told.
         written: f64,
         /// The node's load, where it was told.
         load: Option<Load>,
     },
-    /// What was held for a request has been let go, or could not be.
-    Released(RequestId),
+    /// A release that was commanded is over.
+    Released {
+        /// The request.
+        id: RequestId,
+        /// A server said that it has let go; else none did in time.
+        done: bool,
+    },
     /// A probe's answer.
     Probed {
         /// The node.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -9,12 +9,17 @@
 mod door;
 mod messages;
 mod nodes;
+mod reasons;
+mod report;
+mod rules;
 mod table;
 
 pub use self::clock::Clock;
 pub use self::core::Core;
 pub use self::door::{door, Door, Inbox, Ticket};
 pub use self::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
+pub use self::reasons::{CloseReason, EndReason, ReleaseReason};
+pub use self::rules::Rule;
 
 use bytes::Bytes;
 use quartzhall_recording::Recorder;
@@ -71,6 +76,9 @@
             info!(core.log, "readiness"; "state" => ?ready);
         }
         let open = core.open();
+        if ready == Readiness::Draining && open == 0 {
+            core.summarize();
+        }
         inbox.open.send_if_modified(|old| std::mem::replace(old, open) != open);
     }
 }
--- a/src/dispatch/table.rs
+++ b/src/dispatch/table.rs
@@ -1,6 +1,7 @@
 //! The request table: what is known of each request from its arrival until all of it is over.
 
 use super::messages::{Answer, Work};
+use super::reasons::EndReason;
 use crate::api::{Ask, RequestId, Role, ServerId, Status, Time};
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -21,6 +22,8 @@
     pub server: ServerId,
     pub out: bool,
     pub reached: bool, // its node has answered
+    pub sent: Time,
+    pub ended: Option<EndReason>,
 }
 
 /// A request in the table: until it is answered, no attempt is out, and nothing is held for it.
@@ -95,11 +98,12 @@
 
     /// An attempt has ended: what may be held and what may have run by that. `None`: it was not out.
     pub fn ended(
-        &mut self, now: Time, attempt: u32, status: Status, note: f64,
+        &mut self, now: Time, attempt: u32, reason: EndReason, note: f64,
         role: impl Fn(ServerId) -> Option<Role>,
     ) -> Option<Ended> {
         let ended = self.attempts.get_mut(attempt as usize).filter(|it| it.out)?;
-        ended.out = false;
+        let status = reason.status();
+        (ended.out, ended.ended) = (false, Some(reason));
         ended.reached = matches!(status, Status::Read | Status::Full | Status::Error | Status::Rejected);
         let server = ended.server;
         // While connections don't come up, the time in which a state is to be taken runs on.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,37 +2,32 @@
 //! A request goes to a reader, waits there as a read state, and goes on to a writer. `place` chooses where,
 //! `act` is the one way out and holds the rules, `outcome` learns. Seconds are `f64`, moments `Time`.
 
+mod choice;
+mod models;
+mod reads;
+mod refusal;
+mod server;
+mod slow_start;
+mod writes;
+
 use crate::api::*;
-use crate::candidates::{mix, Candidates, Look, Side};
+use crate::candidates::{mix, Candidates, Side};
 use crate::prefixes::Prefixes;
 use crate::quota::Quota;
-use nalgebra::{SMatrix, SVector};
-use rand::distributions::{Distribution, WeightedIndex};
+use choice::Choice;
+use models::{Inputs, Model, COVARIANCE};
+use nalgebra::SMatrix;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use reads::HOME_MATCH;
+use server::{add, Counts, Server, REQUESTS};
+use std::collections::{BTreeMap, BTreeSet};
 
 // Tuned values: parts and multiples of aims, rules and observed times, none of them a site's figure.
-const INPUTS: usize = 5; // of a model, the constant among them
-const FORGET: f64 = 0.997; // weight that a sample keeps with each later one
-const COVARIANCE: f64 = 1.0; // a model's covariance at the start, and its bound
-const ENOUGH: u32 = 4; // samples before a model is trusted, and what its prior counts for
 const REFIT: Time = 1_000_000; // failures fade, lots are drawn
-const WARM_MATCH: f64 = 0.80; // a warm reader has kept more than this part of the prompt
-const SOME_MATCH: f64 = 0.1; // where none is over that part, the best match counts from here on
-const EXPLORE: f64 = 0.02; // share that ignores the warm filter, and share that tries the failing tier
-const TRAILING: f64 = 0.25; // the filter opens when the best warm trails the best by this part of the aim
 const FIT: f64 = 0.6; // a server fits when its chance to meet the aims is above this
 const EASY: f64 = 0.9; // the warm filter opens only towards a reader whose chance is above this
-const HOPELESS: f64 = 0.4; // in overload nothing with a lower chance is worth reading
-const MARGIN: f64 = 0.15; // part of the aim that readers leave for what the models get wrong together
-const HEADROOM_SCALE: f64 = 0.15; // headroom (part of the aim) that makes a draw e times as likely
-const PRICE_SCALE: f64 = 0.007; // price (part of the worth) that makes it e times less likely
-const LEAST_SPREAD: f64 = 0.05; // least spread of a prediction, as part of the aim
 const NEWEST: f64 = 0.11; // weight of the newest value in corrections, failure shares and means
-const STALE: f64 = 1.5; // seconds in which a report loses half of its weight against own counts
-const EVENNESS: f64 = 0.15; // weight of the fleet's usual load against own counts that see all of it
-const HOME_MATCH: f64 = 0.85; // part of a prompt that its session's home is presumed to keep at the start
 const FEW: f64 = 10.0; // routers whose own part of a cold server's ration is whole sends
 const FRESH: Time = 1_000_000; // a report younger than this needs no probe
 const ASKED: usize = 2; // servers asked for their load before a choice ...
@@ -41,11 +36,6 @@
 const OVERDUE_MULTIPLE: f64 = 1.5; // ... and after this multiple of it
 const SPARE_PER_REQUEST: f64 = 0.10; // second copies and moves that a request pays for ...
 const SPARE_MOST: f64 = 5.0; // ... and the most that are saved up
-const SICK: f64 = 0.4; // a server is set aside for a class when it failed so much of it of late
-const PAUSE_DOUBLINGS: u32 = 3; // its pause is the shortest aim, doubled up to so many times
-const COLD_PART: f64 = 0.8; // part of a cold server's budget that is used, reckoned as if it stayed as cold
-const ABOVE_USUAL: f64 = 0.1; // load is above usual when the least wait is by this part of the aim
-const MEMORY_SPREAD: f64 = 0.1; // what is known of a writer's memory is off by about this part of it
 const ANSWER_PART: f64 = 0.33; // tokens of an answer as part of the most allowed, where no hint tells
 const ROOM: f64 = 0.5; // part of a reader's memory that the texts noted for it may fill
 const KEPT_AIMS: Time = 60; // the prefix table forgets a text after so many of the shortest aims
@@ -63,106 +53,6 @@
     *value += NEWEST * (new - *value);
 }
 
-type Inputs = SVector<f64, INPUTS>;
-
-/// A shared model: recursive least squares with forgetting. More load never helps: slopes are at least 0.
-struct Model {
-    weights: Inputs,
-    covariance: SMatrix<f64, INPUTS, INPUTS>,
-    samples: u32,
-    mean: f64,
-    spread: f64,
-}
-
-impl Model {
-    fn learn(&mut self, x: &Inputs, y: f64) {
-        let error = (y - self.predict(x)).abs();
-        self.samples = self.samples.saturating_add(1);
-        let newest = 1.0 / f64::from(self.samples.saturating_add(ENOUGH)).min(50.0);
-        self.mean += newest * (y - self.mean);
-        self.spread += newest * (error.min(4.0 * self.mean) - self.spread);
-        let along = self.covariance * x;
-        let scale = FORGET + x.dot(&along);
-        self.weights += along * ((y - x.dot(&self.weights)) / scale);
-        self.covariance -= along * along.transpose() / scale;
-        if self.covariance.diagonal().max() < COVARIANCE {
-            self.covariance /= FORGET;
-        }
-    }
-
-    fn predict(&self, x: &Inputs) -> f64 {
-        let slopes = self.weights.zip_map(x, |weight, x| weight.max(0.0) * x);
-        (self.weights[0] * x[0] + slopes.sum() - slopes[0]).clamp(self.mean * 0.1, self.mean * 20.0)
-    }
-}
-
-/// Requests, thousands of tokens to read or fetch, share of the memory: a server's load.
-type Counts = [f64; 3];
-const REQUESTS: usize = 0;
-const TO_READ: usize = 1;
-const MEMORY: usize = 2;
-
-fn add(to: &mut Counts, other: &Counts, sign: f64) {
-    to.iter_mut().zip(other).for_each(|(to, other)| *to = (*to + sign * other).max(0.0));
-}
-
-/// How attempts of a class fared at a server.
-#[derive(Clone, Copy, Default)]
-struct Health {
-    failing: f64, // share of recent ones that failed
-    paused_until: Time,
-    pauses: u32,
-}
-
-#[derive(Default)]
-struct Server {
-    entry: Entry,
-    told: [Option<f64>; 3],
-    told_at: Option<Time>,
-    own: Counts,
-    own_then: Counts,
-    /// Attempts with neither 'read' nor first token yet: when sent, seconds predicted, class.
-    waiting: BTreeMap<(RequestId, usize), (Time, f64, usize)>,
-    begun: Time,                     // when the last of those was sent that are over
-    slower: f64,                     // by what part waits take longer than by the shared model
-    health: BTreeMap<usize, Health>, // by class
-    asked_at: Option<Time>,          // a probe is out
-    sent: VecDeque<Time>,            // what was sent to it lately, while cold
-}
-
-impl Server {
-    /// A server may turn away a class and serve the rest; one not tried fares like the best that was.
-    fn health(&self, class: usize) -> Health {
-        let best = || self.health.values().min_by(|a, b| a.failing.total_cmp(&b.failing));
-        self.health.get(&class).or_else(best).copied().unwrap_or_default()
-    }
-
-    fn health_mut(&mut self, class: usize) -> &mut Health {
-        let presumed = self.health(class);
-        self.health.entry(class).or_insert(presumed)
-    }
-
-    /// Seconds by which its oldest attempt is late: a stalled server shows before it answers.
-    fn overdue(&self, now: Time, spread: f64) -> f64 {
-        let late = |it: &(Time, f64, usize)| seconds(now.saturating_sub(it.0)) - it.1 - spread;
-        self.waiting.values().map(late).fold(0.0, f64::max)
-    }
-
-    fn part_of_memory(&self, tokens: f64) -> f64 {
-        Some(self.entry.memory).filter(|told| *told > 0.0).map_or(0.0, |memory| tokens / memory)
-    }
-
-    fn warm_share(&self, settings: &Settings, now: Time) -> f64 {
-        1.0 - (1.0 - settings.cold_from) * (1.0 - self.age(settings, now))
-    }
-
-    /// Time since its start as part of that in which it is warm, up to 1.
-    fn age(&self, settings: &Settings, now: Time) -> f64 {
-        let age = self.entry.started.map_or(Time::MAX, |started| now.saturating_sub(started));
-        (age as f64 / settings.warm_within.max(1) as f64).min(1.0)
-    }
-}
-
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Stage {
     #[default]
@@ -223,25 +113,6 @@
     }
 }
 
-#[derive(Default)]
-struct Choice {
-    server: ServerId,
-    inputs: Inputs,
-    predicted: f64,
-    kept: f64,
-    matched: f64,
-    headroom: f64,
-    chance: f64,
-    price: f64,
-}
-
-impl Choice {
-    /// Logarithm of its weight in a draw.
-    fn weight(&self) -> f64 {
-        self.headroom / HEADROOM_SCALE - self.price / PRICE_SCALE
-    }
-}
-
 /// The decisions of one router. Tell it [`Event::Wake`] after `new`, and at each time that it asks for.
 pub struct Router {
     settings: Settings,
@@ -344,7 +215,7 @@
             }
             Event::Gone { id } => self.with(id, |it, request| {
                 request.answered = true;
-                it.end(request);
+                it.cancel_all(request, |_| true);
             }),
             Event::Probed { server, ok, load } => {
                 self.told_load(server, load);
@@ -429,24 +300,10 @@
         told.for_each(|(usual, told)| blend(usual, told.unwrap_or(*usual)));
     }
 
-    /// Too many failures, one in a trial, or one of a dead server set it aside: for a class, or else for all.
-    fn blame(&mut self, id: ServerId, class: Option<usize>, at_once: bool) {
-        let (now, pause) = (self.now, self.pause);
-        for class in class.map_or(0..self.settings.classes.len(), |class| class..class + 1) {
-            let Some(server) = self.servers.get_mut(&id) else { return };
-            let health = server.health_mut(class);
-            blend(&mut health.failing, 1.0);
-            if (at_once || health.failing > SICK || health.pauses > 0) && now >= health.paused_until {
-                health.paused_until = now + (pause << health.pauses.min(PAUSE_DOUBLINGS));
-                health.pauses += 1;
-            }
-        }
-    }
-
     fn arrive(&mut self, ask: Ask) {
         let id = ask.id;
         let Some(class) = self.settings.classes.get(ask.class) else {
-            return self.out.push(Action::Fail { id });
+            return self.out.push(Action::Fail { id, why: GiveUp::UnknownClass });
         };
         let (aim, worth) = (seconds(class.aim).max(1e-3), class.worth);
         let aim_at = self.now + class.aim + (class.aim_per_1000_tokens as f64 * ask.prompt / 1000.0) as Time;
@@ -459,19 +316,6 @@
         self.with(id, Self::place);
     }
 
-    fn over_share(&mut self, tenant: Option<usize>) -> bool {
-        let quota = tenant.and_then(|tenant| self.quotas.get_mut(tenant));
-        quota.is_some_and(|quota| quota.is_exceeded(self.now))
-    }
-
-    /// The final answer, where none was given: a refusal where that is true, else a failure.
-    fn end(&mut self, request: &mut Request) {
-        self.cancel_all(request, |_| true);
-        let (id, retry_after) = (request.ask.id, self.pause.min(self.settings.max_retry_after));
-        let refuse = Action::Refuse { id, retry_after };
-        let _ = self.act(request, refuse) || self.act(request, Action::Fail { id });
-    }
-
     fn cancel_all(&mut self, request: &mut Request, useless: impl Fn(&Attempt) -> bool) {
         for at in 0..request.attempts.len() {
             if request.attempts[at].out && useless(&request.attempts[at]) {
@@ -560,7 +404,7 @@
         // One that may have run and must not run twice is given up, and its client told so at once.
         let unsafe_class = self.settings.classes[request.ask.class].effect == Effect::Unsafe;
         if unsafe_class && !request.begun && request.attempts.iter().any(|it| !it.out && !it.harmless) {
-            return self.end(request);
+            return self.end(request, GiveUp::MustNotRepeat);
         }
         self.place(request);
     }
@@ -584,12 +428,6 @@
         self.models[PACE].learn(&attempt.choice.inputs, took / self.tokens(ask).max(1.0));
     }
 
-    fn tokens(&self, ask: &Ask) -> f64 {
-        let aim = self.settings.classes[ask.class].token_aim;
-        let hint = ask.hint.filter(|hint| *hint > 0 && aim > 0).map(|hint| hint as f64 / aim as f64);
-        hint.unwrap_or(ask.max_tokens * ANSWER_PART)
-    }
-
     fn place(&mut self, request: &mut Request) {
         // A state may be taken while a second read is still out.
         let waits = |it: &Attempt| it.out && (it.stage != Stage::Read || request.state_at.is_none());
@@ -598,8 +436,11 @@
         }
         let held_until = request.held_since + (self.settings.release_within as f64 * HELD_PART) as Time;
         let held_too_long = request.state_at.is_some() && self.now >= held_until;
-        if held_too_long || request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
-            return self.end(request);
+        if held_too_long {
+            return self.end(request, GiveUp::StateHeldTooLong);
+        }
+        if request.attempts.len() as u32 >= self.settings.max_attempts.max(1) {
+            return self.end(request, GiveUp::NoAttemptLeft);
         }
         request.homes = self.homes(request);
         let mut choices = self.choices(request);
@@ -618,7 +459,7 @@
         if request.state_at.is_none() {
             while self.refuses(request, &choices) {
                 if self.looks_at_all(request) {
-                    return self.end(request);
+                    return self.end(request, GiveUp::Overload);
                 }
                 request.widened = u32::MAX; // none is refused that a server not looked at would serve
                 choices = self.choices(request);
@@ -638,15 +479,6 @@
         self.send(request, stage, choice);
     }
 
-    fn choices(&self, request: &Request) -> Vec<Choice> {
-        let reader = request.state_at.map(|reader| self.servers.get(&reader));
-        reader.map_or_else(|| self.readers(request), |reader| self.writers(request, reader))
-    }
-
-    fn looks_at_all(&self, request: &Request) -> bool {
-        self.candidates.is_whole(Side::of(request.state_at.is_some()), &self.look(request))
-    }
-
     /// Asks likely servers for their load before the choice; true while it waits for answers.
     fn asks_first(&mut self, request: &mut Request, choices: &[Choice]) -> bool {
         if request.asked.is_none() && self.settings.may_probe && self.settings.reports != Reports::Never {
@@ -670,200 +502,6 @@
         ((request.aim * 1e6 * ASKING_PART) as Time).max(2 * self.settings.tick)
     }
 
-    /// Nothing fits and load is above usual, by the best reader's time: the lowest worth is refused unread,
-    /// and all that is hopeless.
-    fn refuses(&mut self, request: &Request, choices: &[Choice]) -> bool {
-        let chance = choices.iter().map(|choice| choice.chance).fold(0.0, f64::max);
-        let reading = self.models[READ].weights[TOKENS].max(0.0);
-        let waits = choices.iter().map(|choice| choice.predicted - reading * choice.inputs[TOKENS]);
-        let wait = waits.fold(f64::MAX, f64::min);
-        if self.models[WRITE].samples < ENOUGH || !request.attempts.is_empty() || choices.is_empty() {
-            return false;
-        }
-        if chance >= FIT {
-            self.usual += (1.0 - FORGET) * (wait - self.usual);
-            return false;
-        }
-        let open = self.settings.classes.iter().filter(|class| class.open);
-        let lowest = open.map(|class| class.worth).fold(f64::MAX, f64::min);
-        wait > self.usual + ABOVE_USUAL * request.aim && (request.worth <= lowest || chance < HOPELESS)
-    }
-
-    fn readers(&self, request: &Request) -> Vec<Choice> {
-        let look = self.look(request);
-        let mut likely = self.prefixes.holders(&request.ask, look.seed);
-        likely.extend(request.homes.keys());
-        let open = self.open(request, Stage::Read, self.candidates.readers(&look, likely));
-        let reads = |it: &&&Server| it.entry.role == Role::Reader;
-        let later = self.best_writers(request, open.iter().filter(reads).map(|it| it.entry.cell).collect());
-        let choice = |it: &Server| {
-            let after = later.get(&it.entry.cell).filter(|_| reads(&&it)).copied().unwrap_or((0.0, 1.0));
-            let home = request.homes.get(&it.entry.server).copied().unwrap_or(0.0);
-            self.reader_choice(request, it, home, after)
-        };
-        open.into_iter().map(choice).collect()
-    }
-
-    /// The best writer after a reader of each cell: seconds to the first token there, and its chance.
-    fn best_writers(&self, request: &Request, cells: BTreeSet<u32>) -> BTreeMap<u32, (f64, f64)> {
-        let writers = self.open_writers(request, &cells);
-        let told = |at: usize, far| {
-            let choice = self.writer_choice(request, writers[at], far);
-            (choice.chance, at, choice.predicted)
-        };
-        let better = |a: &(f64, usize, f64), b: &(f64, usize, f64)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        let mut far: Vec<_> = (0..writers.len()).map(|at| told(at, true)).collect();
-        far.sort_by(|a, b| better(b, a));
-        let mut near: BTreeMap<u32, Vec<usize>> = BTreeMap::new();
-        writers.iter().enumerate().for_each(|(at, it)| near.entry(it.entry.cell).or_default().push(at));
-        let best = |cell: u32| {
-            let far = far.iter().find(|it| writers[it.1].entry.cell != cell).copied();
-            let near = near.get(&cell).into_iter().flatten().map(|at| told(*at, false));
-            near.chain(far).max_by(better).map_or((0.0, FIT), |best| (best.2, best.0))
-        };
-        cells.iter().map(|cell| (*cell, best(*cell))).collect()
-    }
-
-    /// Tokens that readers are presumed to keep of a prompt, where the table can't know.
-    fn homes(&self, request: &Request) -> BTreeMap<ServerId, f64> {
-        let ask = &request.ask;
-        let share = self.prefixes.share(ask);
-        let warm = |it| self.servers.get(&it).map_or(0.0, |it| it.warm_share(&self.settings, self.now));
-        let (shared, own) = self.candidates.homes(&self.look(request), ask.prefix, ask.session, share, warm);
-        let whole = (self.home_match[ask.class] * ask.prompt).max(ask.prefix_tokens);
-        let shared = shared.into_iter().map(|it| (it, ask.prefix_tokens));
-        shared.chain(own.map(|it| (it, whole))).filter(|(_, tokens)| *tokens > 0.0).collect()
-    }
-
-    fn reader_choice(&self, request: &Request, server: &Server, home: f64, after: (f64, f64)) -> Choice {
-        let kept = self.prefixes.kept(&request.ask, server.entry.server).max(home.min(request.ask.prompt));
-        let matched = kept / request.ask.prompt.max(1.0);
-        let [running, to_read, memory] = [REQUESTS, TO_READ, MEMORY].map(|of| self.level(server, of));
-        let inputs = Inputs::new(1.0, memory, (request.ask.prompt - kept) / 1000.0, running / 10.0, to_read);
-        let judged = self.judge(request, server, READ, inputs, after.0 + MARGIN * request.aim);
-        let chance = judged.chance * (after.1 / FIT).min(1.0);
-        let mut choice = Choice { kept, matched, chance, ..judged };
-        if self.models[READ].samples < ENOUGH {
-            choice.headroom = 1.0 + matched - memory - (running + to_read) / 10.0;
-        }
-        choice
-    }
-
-    fn writers(&self, request: &Request, reader: Option<&Server>) -> Vec<Choice> {
-        let cell = reader.map(|reader| reader.entry.cell);
-        let far = |it: &Server| cell.is_some_and(|cell| cell != it.entry.cell);
-        let open = self.open_writers(request, &cell.into_iter().collect()).into_iter();
-        open.map(|server| self.writer_choice(request, server, far(server))).collect()
-    }
-
-    fn open_writers(&self, request: &Request, cells: &BTreeSet<u32>) -> Vec<&Server> {
-        self.open(request, Stage::Write, self.candidates.writers(&self.look(request), cells))
-    }
-
-    fn writer_choice(&self, request: &Request, server: &Server, far: bool) -> Choice {
-        let [running, to_fetch, memory] = [REQUESTS, TO_READ, MEMORY].map(|of| self.level(server, of));
-        let prompt = request.ask.prompt / 1000.0;
-        let inputs = Inputs::new(1.0, running / 10.0, memory, prompt * f64::from(far), prompt + to_fetch);
-        // What its memory can't take waits until running answers end; how full it is, is known in part.
-        let (tokens, pace) = (self.tokens(&request.ask), self.models[PACE].predict(&inputs));
-        let over = (memory + server.part_of_memory(request.ask.prompt + tokens) - 1.0) / MEMORY_SPREAD;
-        let over = MEMORY_SPREAD * (over.max(0.0) + (-over.abs()).exp().ln_1p());
-        let mut choice = self.judge(request, server, WRITE, inputs, over * tokens * pace);
-        choice.kept = request.ask.prompt;
-        choice.price += if far { self.settings.far_price } else { 0.0 };
-        let aim = seconds(self.settings.classes[request.ask.class].token_aim);
-        if aim > 0.0 {
-            let warm = server.warm_share(&self.settings, self.now).max(0.05);
-            let room = 1.0 - pace / warm / aim;
-            choice.headroom = choice.headroom.min(room);
-            choice.chance *= odds(room / (2.0 * LEAST_SPREAD));
-        }
-        choice.price -= choice.chance.min(EASY); // what is late is lost
-        if self.models[WRITE].samples < ENOUGH {
-            choice.headroom = 1.0 - memory - running / 100.0;
-        }
-        choice
-    }
-
-    /// Chance and headroom of a server: the shared model, its own correction, and what is overdue there.
-    fn judge(&self, request: &Request, server: &Server, side: usize, inputs: Inputs, later: f64) -> Choice {
-        let model = &self.models[side];
-        let base = model.predict(&inputs);
-        let slow = (1.0 + server.slower) / server.warm_share(&self.settings, self.now).max(0.05);
-        let corrected = ((base + model.spread) * slow - model.spread).max(0.1 * base);
-        let overdue = server.overdue(self.now, 2.0 * model.spread);
-        let left = seconds(request.aim_at) - seconds(self.now) - later - corrected - overdue;
-        // How long a stall still lasts is unknown: a state that waits goes elsewhere before it is hopeless.
-        let spread = model.spread.max(LEAST_SPREAD * request.aim) + request.state_at.map_or(0.0, |_| overdue);
-        Choice {
-            server: server.entry.server,
-            inputs,
-            predicted: corrected + overdue,
-            headroom: left / request.aim,
-            chance: odds(left / spread) * (1.0 - server.health(request.ask.class).failing),
-            price: if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price },
-            ..Choice::default()
-        }
-    }
-
-    /// A reported level carried on by own counts. As it ages, what is usual in the fleet replaces it, with
-    /// own counts added for as much as they tell: little where this router is one of hundreds.
-    fn level(&self, server: &Server, of: usize) -> f64 {
-        let own = server.own[of];
-        let usual = self.usual_load[usize::from(server.entry.role == Role::Reader)][of];
-        let guess = ((EVENNESS * usual + own) / (EVENNESS + 1.0 / self.share)).max(own);
-        let (Some(told), Some(at)) = (server.told[of], server.told_at) else { return guess };
-        let trust = 0.5f64.powf(seconds(self.now.saturating_sub(at)) / STALE);
-        (trust * (told + own - server.own_then[of]) + (1.0 - trust) * guess).max(own)
-    }
-
-    fn look(&self, request: &Request) -> Look {
-        Look { zone: self.settings.zone, seed: request.ask.id ^ self.salt, widened: request.widened }
-    }
-
-    /// Those of these that may be sent this request now: well before set aside or on trial, new before tried.
-    fn open(&self, request: &Request, stage: Stage, servers: Vec<ServerId>) -> Vec<&Server> {
-        let servers = servers.iter().filter_map(|it| self.servers.get(it));
-        let allowed: Vec<_> = servers.filter(|server| self.may_send(request, server, stage)).collect();
-        let last = |server: &&Server| {
-            let silent = server.asked_at.is_some_and(|at| at + self.asking(request) <= self.now);
-            let tried = |it: &Attempt| it.choice.server == server.entry.server && it.stage == stage;
-            let health = server.health(request.ask.class);
-            let on_trial = health.pauses > 0 && server.waiting.values().any(|it| it.2 == request.ask.class);
-            (self.now < health.paused_until || on_trial || silent, request.attempts.iter().any(tried))
-        };
-        let best = allowed.iter().map(last).min();
-        allowed.into_iter().filter(|server| Some(last(server)) == best).collect()
-    }
-
-    /// The warm filter with its explore share and its load gate, which opens only towards a reader that fits
-    /// well: in a jam, reading texts anew elsewhere would feed the jam.
-    fn warm_only(&mut self, mut choices: Vec<Choice>, request: &Request) -> Vec<Choice> {
-        let sooner = |a: &&Choice, b: &&Choice| a.predicted.total_cmp(&b.predicted);
-        // After a flush no reader keeps enough of a prompt: taken for equal, each would read it anew.
-        let most = choices.iter().map(|choice| choice.matched).fold(0.0, f64::max);
-        let least = WARM_MATCH * if (SOME_MATCH..WARM_MATCH).contains(&most) { most } else { 1.0 };
-        let warm = choices.iter().filter(|choice| choice.matched > least).min_by(sooner);
-        let (gap, best) = (TRAILING * request.aim, warm.zip(choices.iter().min_by(sooner)));
-        let stays = best.is_some_and(|it| it.0.predicted <= it.1.predicted + gap || it.1.chance < EASY);
-        if self.rng.gen::<f64>() >= EXPLORE && stays {
-            choices.retain(|choice| choice.matched > least);
-        }
-        choices
-    }
-
-    /// Headroom tiers and the weighted draw. Most headroom is favoured: least, the default of the design at
-    /// readers, piles work on the one nearest to its limit until readers jam.
-    fn draw(&mut self, mut choices: Vec<Choice>) -> Option<Choice> {
-        let fitting = choices.iter().filter(|choice| choice.chance >= FIT).count();
-        let fits = fitting > 0 && (fitting == choices.len() || self.rng.gen::<f64>() >= EXPLORE);
-        choices.retain(|choice| (choice.chance >= FIT) == fits);
-        let top = choices.iter().map(Choice::weight).fold(f64::MIN, f64::max);
-        let weights: Vec<f64> = choices.iter().map(|choice| (choice.weight() - top).exp()).collect();
-        let at = WeightedIndex::new(weights).ok()?.sample(&mut self.rng);
-        choices.into_iter().nth(at)
-    }
-
     fn send(&mut self, request: &mut Request, stage: Stage, choice: Choice) {
         let (id, server, sent) = (request.ask.id, choice.server, self.now);
         let allowed = self.servers.get(&server).is_some_and(|server| self.may_send(request, server, stage));
@@ -888,50 +526,6 @@
         open && self.effect_allows(request, server, stage) && self.cold_allows(request, server, stage)
     }
 
-    /// Unsafe: only when nothing ran. Keyed: only where and as long as repeats are dropped.
-    fn effect_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        let safe = self.settings.classes[request.ask.class].effect != Effect::Unsafe;
-        stage == Stage::Read && safe || self.may_repeat(request, Some(&server.entry))
-    }
-
-    /// Whether the request may run once more at a server, or anywhere, whatever has run by now.
-    fn may_repeat(&self, request: &Request, here: Option<&Entry>) -> bool {
-        let effect = self.settings.classes[request.ask.class].effect;
-        let may = |it: &Attempt| match (effect, self.servers.get(&it.choice.server).zip(here)) {
-            (Effect::Safe, _) => true,
-            (Effect::Keyed { window, .. }, _) if self.now >= it.sent + window => false,
-            (Effect::Keyed { group: Group::All, .. }, _) => true,
-            (Effect::Keyed { group: Group::Zone, .. }, Some((it, here))) => it.entry.zone == here.zone,
-            (Effect::Keyed { group: Group::Cell, .. }, Some((it, here))) => it.entry.cell == here.cell,
-            _ => false,
-        };
-        request.attempts.iter().all(|it| it.harmless || may(it))
-    }
-
-    /// A cold server gets this router's part of what it can take in any span of the rule's length, by what
-    /// the warm ones bear for this router; a part of one send is drawn by lot (docs/candidates.md).
-    fn cold_allows(&self, request: &Request, server: &Server, stage: Stage) -> bool {
-        if server.age(&self.settings, self.now) >= 1.0 {
-            return true;
-        }
-        let since = self.now.saturating_sub(self.settings.fall);
-        let sent = server.sent.iter().filter(|at| **at >= since).count() as f64;
-        let span = NEWEST * self.settings.fall as f64 / REFIT as f64;
-        let able = self.settings.fall_multiple * self.settings.cold_from * span;
-        let (side, to) = (side(stage), server.entry.server);
-        let bearing = self.candidates.bearing(side).0;
-        // One that waits draws again after each span. Texts draw none: a cold reader is home to its part.
-        let times = request.end_at.saturating_sub(self.now) / self.settings.fall.max(1);
-        let drawn = mix(mix(request.ask.id ^ self.salt, times), to.into());
-        let home = u64::from(!request.homes.contains_key(&to)) * u64::MAX;
-        let lot = if stage == Stage::Write || request.homes.is_empty() { drawn } else { home };
-        let factor = self.candidates.lot_factor(side, &self.look(request), to);
-        let flow = self.flow.map(|it| it[side as usize]);
-        let lot = lot as f64 / u64::MAX as f64 * factor * span * (flow[STARTED] + 1.0);
-        let part = COLD_PART * able * (flow[BORNE] + 1.0 / bearing);
-        sent + 1.0 <= able * flow[FINISHED] / bearing || lot < part - sent
-    }
-
     /// Everything for a request but sends passes here; false where a rule or its state forbids it.
     fn act(&mut self, request: &mut Request, action: Action) -> bool {
         let open = !request.answered && !request.begun;
@@ -968,7 +562,7 @@
 
     fn look_at(&mut self, request: &mut Request) {
         if self.now >= request.end_at {
-            return self.end(request);
+            return self.end(request, GiveUp::OutOfTime);
         }
         let late = request.attempts.iter().position(|attempt| self.check_at(attempt) <= self.now);
         let Some(at) = late else { return self.place(request) };
@@ -1021,8 +615,3 @@
         self.servers.retain(|_, server| !over(server));
     }
 }
-
-/// The logistic function: even odds at 0.
-fn odds(x: f64) -> f64 {
-    1.0 / (1.0 + (-x).exp())
-}
--- a/src/nodes/attempt.rs
+++ b/src/nodes/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt at a node, whatever its wire: what is sent, how it ended, and the passing on of its stream.
 
 use super::events::{Events, Spoilt};
-use crate::api::{Load, RequestId, Status};
-use crate::dispatch::{Door, Event, Piece, Work};
+use crate::api::{Load, RequestId};
+use crate::dispatch::{Door, EndReason, Event, Piece, Work};
 use crate::framing::Chunks;
 use crate::moving::{Half, Signal};
 use bytes::Bytes;
@@ -39,9 +39,9 @@
 
 /// How an attempt ended.
 pub struct End {
-    /// Its outcome.
-    pub status: Status,
-    /// Tokens found kept, or 1 with `Full` where no state was there.
+    /// Why, and with what outcome.
+    pub reason: EndReason,
+    /// Tokens found kept, or 1 where no state was there.
     pub note: f64,
     /// Tokens of the answer, where that was told.
     pub written: f64,
@@ -49,9 +49,9 @@
     pub load: Option<Load>,
 }
 
-impl From<Status> for End {
-    fn from(status: Status) -> Self {
-        End { status, note: 0.0, written: 0.0, load: None }
+impl From<EndReason> for End {
+    fn from(reason: EndReason) -> Self {
+        End { reason, note: f64::from(u8::from(reason == EndReason::StateGone)), written: 0.0, load: None }
     }
 }
 
@@ -97,14 +97,14 @@
 
     /// What comes next from the node, or how the attempt has ended instead: before a first event the time-out
     /// holds, later the time within which each event has to come; and a stream that nobody wants any more ends.
-    pub async fn next<T>(&self, until: Instant, next: impl Future<Output = T>) -> Result<T, Status> {
+    pub async fn next<T>(&self, until: Instant, next: impl Future<Output = T>) -> Result<T, EndReason> {
         let (limit, ended) = match self.begun() {
-            true => (self.last + SILENCE, Status::Reset),
-            false => (until, Status::Timeout),
+            true => (self.last + SILENCE, EndReason::StreamSilent),
+            false => (until, EndReason::Silent),
         };
         tokio::select! {
             next = timeout_at(limit, next) => next.map_err(|_| self.given_up("silent", ended)),
-            () = self.abandoned() => Err(Status::Cancelled),
+            () = self.abandoned() => Err(EndReason::ClientLeft),
         }
     }
 
@@ -128,12 +128,12 @@
 
     /// Nothing broke, and yet the attempt is over: of a stream that has begun, whose client now gets no whole answer,
     /// the log tells why.
-    fn given_up(&self, why: &str, status: Status) -> Status {
+    fn given_up(&self, why: &str, reason: EndReason) -> EndReason {
         if self.begun() {
             info!(self.log, "a stream is given up"; "id" => self.id, "attempt" => self.attempt, "why" => why,
                 "since_last_event_ms" => self.last.elapsed().as_millis() as u64);
         }
-        status
+        reason
     }
 
     async fn abandoned(&self) {
@@ -145,17 +145,18 @@
 
     /// Takes what came and passes on the events that are whole. An error is how the attempt has ended: nobody
     /// wants the stream any more, or it is spoilt.
-    pub async fn data(&mut self, data: &[u8]) -> Result<(), Status> {
-        let whole = self.events.take(data).map_err(|Spoilt| self.given_up("spoilt", Status::Error))?;
+    pub async fn data(&mut self, data: &[u8]) -> Result<(), EndReason> {
+        let whole =
+            self.events.take(data).map_err(|Spoilt| self.given_up("spoilt", EndReason::SpoiltStream))?;
         self.pass(whole).await
     }
 
-    async fn pass(&mut self, data: Bytes) -> Result<(), Status> {
+    async fn pass(&mut self, data: Bytes) -> Result<(), EndReason> {
         if data.is_empty() {
             return Ok(());
         }
         match &self.pieces {
-            Some(pieces) => pieces.send(Piece::Data(data)).await.map_err(|_| Status::Cancelled)?,
+            Some(pieces) => pieces.send(Piece::Data(data)).await.map_err(|_| EndReason::ClientLeft)?,
             None => {
                 let (pieces, stream) = mpsc::channel(PIECES);
                 let _ = pieces.try_send(Piece::Data(data)); // the channel is new and empty
@@ -170,11 +171,11 @@
 
     /// Passes the good end on, with what came after the last event. Without it, whoever reads the stream takes
     /// it as broken. A stream without an event is no answer.
-    pub async fn end(mut self) -> Result<(), Status> {
+    pub async fn end(mut self) -> Result<(), EndReason> {
         let rest = std::mem::take(&mut self.events).rest();
-        let rest = rest.map_err(|Spoilt| self.given_up("spoilt at its end", Status::Error))?;
+        let rest = rest.map_err(|Spoilt| self.given_up("spoilt at its end", EndReason::SpoiltStream))?;
         if !self.begun() {
-            return Err(Status::Error);
+            return Err(EndReason::UnreadableAnswer);
         }
         self.pass(rest).await?;
         if let Some(pieces) = self.pieces {
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -5,7 +5,8 @@
 
 use super::attempt::{parse_load, End, Passing, Trial};
 use super::connections::{Carried, Dialer, CROWDED};
-use crate::api::{Load, Status};
+use crate::api::Load;
+use crate::dispatch::EndReason;
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, Limited};
@@ -120,25 +121,25 @@
 
 /// What an exchange has come to that may have run: an error where the node's answer can't be read, which tells
 /// nothing of the node's health, and a reset where its connection broke.
-fn broken(error: &(dyn Error + 'static)) -> Status {
+fn broken(error: &(dyn Error + 'static)) -> EndReason {
     let unreadable = any_cause(error, |error| {
         error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
             || matches!(kind(error), Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
     });
     if unreadable {
-        Status::Error
+        EndReason::UnreadableAnswer
     } else {
-        Status::Reset
+        EndReason::ConnectionBroke
     }
 }
 
 /// What an exchange has come to that never ran: the node can't be reached, or it was not even tried, for all places
 /// were taken.
-fn never_ran(error: &(dyn Error + 'static)) -> Status {
+fn never_ran(error: &(dyn Error + 'static)) -> EndReason {
     if any_cause(error, |error| kind(error) == Some(CROWDED)) {
-        Status::Moot
+        EndReason::NoPlace
     } else {
-        Status::ConnectFailed
+        EndReason::DialFailed
     }
 }
 
@@ -273,13 +274,13 @@
             .header("x-expires-in-ms", trial.timeout.as_millis().to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(body);
-        let Ok(request) = request else { return Status::Moot.into() };
+        let Ok(request) = request else { return EndReason::NotSent.into() };
         let exchange = tokio::select! {
             biased;
             // The drain rule counts from a send's first byte: one that still waits for a connection when its
             // node is barred is not sent. What has gone out is left alone.
             () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
-                return Status::ConnectFailed.into();
+                return EndReason::Barred.into();
             }
             exchange = timeout_at(until, self.exchange(request, trial.alone)) => exchange,
         };
@@ -291,16 +292,16 @@
                 return if error.is_connect() || !taken.load(Ordering::Relaxed) {
                     never_ran(&error)
                 } else if unwritten {
-                    Status::Moot // never ran; but the node is there, for it took the connection
+                    EndReason::NotWritten // the node is there, for it took the connection
                 } else {
                     match broken(&error) {
-                        Status::Reset if stale => Status::Stale,
-                        status => status,
+                        EndReason::ConnectionBroke if stale => EndReason::KeptConnectionBroke,
+                        reason => reason,
                     }
                 }
                 .into();
             }
-            Err(_) => return Status::Timeout.into(),
+            Err(_) => return EndReason::Silent.into(),
         };
         let load = load_of(response.headers());
         let never_ran = response.headers().get("x-never-ran").is_some_and(|value| value == "1");
@@ -313,24 +314,24 @@
                         let body = body.to_bytes();
                         let kept = std::str::from_utf8(&body).ok().and_then(|it| json::from_str(it).ok());
                         let note = kept.and_then(|kept: Kept| kept.cached_tokens).unwrap_or(0.0);
-                        End { status: Status::Read, note, written: 0.0, load }
+                        End { reason: EndReason::Read, note, written: 0.0, load }
                     }
-                    Ok(Err(_)) => Status::Reset.into(),
-                    Err(_) => Status::Timeout.into(),
+                    Ok(Err(_)) => EndReason::ConnectionBroke.into(),
+                    Err(_) => EndReason::Silent.into(),
                 }
             }
-            StatusCode::GONE if never_ran => End { status: Status::Full, note: 1.0, written: 0.0, load },
+            StatusCode::GONE if never_ran => End { load, ..EndReason::StateGone.into() },
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => {
-                End { status: Status::Full, note: 0.0, written: 0.0, load }
+                End { load, ..EndReason::TurnedAway.into() }
             }
             StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::PAYLOAD_TOO_LARGE => {
                 debug!(self.log, "a bad request, says a node"; "id" => trial.id, "address" => %trial.address);
-                End { status: Status::Rejected, note: 0.0, written: 0.0, load }
+                End { load, ..EndReason::BadRequest.into() }
             }
             other => {
                 debug!(self.log, "a node's error"; "id" => trial.id, "address" => %trial.address,
                     "code" => other.as_u16());
-                End { status: Status::Error, note: 0.0, written: 0.0, load }
+                End { load, ..EndReason::ErrorAnswer.into() }
             }
         }
     }
@@ -341,7 +342,7 @@
         let load = load_of(response.headers());
         let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
         if !kind.is_some_and(|kind| kind.starts_with("text/event-stream")) {
-            return End { status: Status::Error, note: 0.0, written: 0.0, load };
+            return End { load, ..EndReason::UnreadableAnswer.into() };
         }
         let mut stream = Stream { body: response.into_body(), passing, seen: 0, tail: Vec::new() };
         let mut carried = carried;
@@ -355,30 +356,30 @@
                 Ok(next) => match self.take(&mut stream, next).await {
                     Ok(true) => {}
                     Ok(false) => break,
-                    Err(status) => return status.into(),
+                    Err(reason) => return reason.into(),
                 },
                 // Tried once: what can't move now can't later.
                 Err(_turn) => match carried.take() {
                     None => {}
                     Some(carried) => match self.move_on(&mut stream, &carried).await {
-                        Ok(true) => return Status::Ok.into(),
+                        Ok(true) => return EndReason::Served.into(),
                         Ok(false) => carried.freeze(false),
-                        Err(status) => return status.into(),
+                        Err(reason) => return reason.into(),
                     },
                 },
             }
         }
-        if let Err(status) = stream.passing.end().await {
-            return End { status, note: 0.0, written: 0.0, load };
+        if let Err(reason) = stream.passing.end().await {
+            return End { load, ..reason.into() };
         }
         let (note, written, last) = parse_tail(&stream.tail);
-        End { status: Status::Ok, note, written, load: last.or(load) }
+        End { reason: EndReason::Served, note, written, load: last.or(load) }
     }
 
     /// Takes what came next of a stream; false at its end.
     async fn take(
-        &self, stream: &mut Stream, next: Result<Option<hyper::Result<Frame<Bytes>>>, Status>,
-    ) -> Result<bool, Status> {
+        &self, stream: &mut Stream, next: Result<Option<hyper::Result<Frame<Bytes>>>, EndReason>,
+    ) -> Result<bool, EndReason> {
         let frame = match next? {
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
@@ -398,7 +399,7 @@
 
     /// Has the stream go on in another process: nothing more is read, and what was read is passed on first. False:
     /// it goes on here.
-    async fn move_on(&self, stream: &mut Stream, carried: &Carried) -> Result<bool, Status> {
+    async fn move_on(&self, stream: &mut Stream, carried: &Carried) -> Result<bool, EndReason> {
         carried.freeze(true);
         let until = Instant::now() + DRAINED;
         loop {
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -9,8 +9,8 @@
 pub mod http;
 pub mod sessions;
 
-use crate::api::{RequestId, ServerId, Status};
-use crate::dispatch::{Command, Door, Event};
+use crate::api::{RequestId, ServerId};
+use crate::dispatch::{Command, Door, EndReason, Event};
 use crate::moving::Signal;
 use crate::places::Places;
 use crate::settings::Bounds;
@@ -72,19 +72,20 @@
 
     /// Lets go of what is held for a request: any node passes it on. One that can't be reached may have died with the
     /// state, and the time in which it must be let go runs on: the next node is called before one is given up.
-    async fn release(&self, name: &str, addresses: &[Arc<str>]) {
+    async fn release(&self, name: &str, addresses: &[Arc<str>]) -> bool {
         let until = Instant::now() + LEASE_TRIES;
         let mut calls = FuturesUnordered::new();
         while Instant::now() < until && !addresses.is_empty() {
             for address in addresses {
                 calls.push(timeout(LEASE_CALL, self.release_at(name, address)));
                 if let Ok(Some(Ok(true))) = timeout(LEASE_STEP, calls.next()).await {
-                    return;
+                    return true;
                 }
             }
             sleep(LEASE_PAUSE).await;
         }
-        warn!(self.log, "a lease could not be let go"; "name" => name);
+        warn!(self.log, "a lease could not be let go"; "name" => name, "servers" => addresses.len());
+        false
     }
 
     async fn probe(&self, server: ServerId, address: &str) {
@@ -136,13 +137,13 @@
                         }
                     };
                     let handle = tasks.spawn(async move {
-                        let End { status, note, written, load } = tokio::select! {
+                        let End { reason, note, written, load } = tokio::select! {
                             biased;
                             end = shared.attempt(trial, passing) => end,
                             // Dropping the exchange closes its connection.
-                            () = cancelled => Status::Cancelled.into(),
+                            () = cancelled => EndReason::Cancelled.into(),
                         };
-                        shared.door.tell(Event::Ended { id, attempt, status, note, written, load }).await;
+                        shared.door.tell(Event::Ended { id, attempt, reason, note, written, load }).await;
                     });
                     trials.insert(handle.id(), (id, attempt));
                     cancels.insert((id, attempt), cancel);
@@ -155,8 +156,8 @@
                 Command::Release { id, name, addresses } => {
                     let shared = shared.clone();
                     tasks.spawn(async move {
-                        shared.release(&name, &addresses).await;
-                        shared.door.tell(Event::Released(id)).await;
+                        let done = shared.release(&name, &addresses).await;
+                        shared.door.tell(Event::Released { id, done }).await;
                     });
                 }
                 Command::Probe { server, address } => {
@@ -180,8 +181,8 @@
                 if let Err(error) = ended {
                     // A task that died has told nothing: the core must not wait for it.
                     error!(shared.log, "an attempt's task died"; "error" => %error);
-                    let status = Status::Reset;
-                    shared.door.post(Event::Ended { id, attempt, status, note: 0.0, written: 0.0, load: None });
+                    let reason = EndReason::TaskDied;
+                    shared.door.post(Event::Ended { id, attempt, reason, note: 0.0, written: 0.0, load: None });
                 }
             }
         }
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -6,6 +6,7 @@
 use super::attempt::{parse_load, End, Passing, Trial};
 use super::connections::{Dialer, Wire, CROWDED};
 use crate::api::Status;
+use crate::dispatch::EndReason;
 use bytes::Bytes;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use miniserde::{json, Deserialize};
@@ -54,23 +55,23 @@
 
 /// Reads a node's message. What makes no sense, or belongs to another request, is an error of the node.
 pub fn parse(text: &str, name: &str) -> Sense {
-    let error = || Sense::End(Status::Error.into());
+    let error = || Sense::End(EndReason::UnreadableAnswer.into());
     let Ok(told) = json::from_str::<Told>(text) else { return error() };
     if told.id.as_deref() != Some(name) {
         return error();
     }
     let load = told.load.as_deref().and_then(parse_load);
     let kept = told.cached_tokens.unwrap_or(0.0);
-    let end = |status, note| Sense::End(End { status, note, written: 0.0, load });
+    let end = |reason| Sense::End(End { load, ..End::from(reason) });
     match (told.kind.as_str(), told.data) {
         ("event", Some(data)) => Sense::Data(data.into()),
-        ("read", _) => end(Status::Read, kept),
-        ("served", _) => end(Status::Ok, kept),
+        ("read", _) => Sense::End(End { reason: EndReason::Read, note: kept, written: 0.0, load }),
+        ("served", _) => Sense::End(End { reason: EndReason::Served, note: kept, written: 0.0, load }),
         ("refused", _) if told.never_ran == Some(true) => {
-            end(Status::Full, f64::from(u8::from(told.state_gone == Some(true))))
+            end(if told.state_gone == Some(true) { EndReason::StateGone } else { EndReason::TurnedAway })
         }
-        ("rejected", _) => end(Status::Rejected, 0.0),
-        _ => end(Status::Error, 0.0),
+        ("rejected", _) => end(EndReason::BadRequest),
+        _ => end(EndReason::ErrorAnswer),
     }
 }
 
@@ -126,20 +127,20 @@
     }
 
     /// A new session, or why none came up; nothing has run either way.
-    async fn open(&self, address: &str) -> Result<Session, Status> {
+    async fn open(&self, address: &str) -> Result<Session, EndReason> {
         let wire = self.dialer.dial(address).await.map_err(|error| match error.kind() {
-            CROWDED => Status::Moot,
-            _ => Status::ConnectFailed,
+            CROWDED => EndReason::NoPlace,
+            _ => EndReason::DialFailed,
         })?;
         let opened = timeout(self.dialer.limit(), async {
             let url = format!("ws://{address}{PATH}");
             let opened = tokio_tungstenite::client_async_with_config(url, wire, Some(config())).await;
             opened.map_err(|error| debug!(self.log, "no session"; "error" => %error)).ok()
         });
-        let (session, _) = opened.await.ok().flatten().ok_or(Status::ConnectFailed)?;
+        let (session, _) = opened.await.ok().flatten().ok_or(EndReason::DialFailed)?;
         // The drain rule counts from a send's first byte: one that waited here is checked again.
         if self.dialer.is_barred(address) {
-            return Err(Status::ConnectFailed);
+            return Err(EndReason::Barred);
         }
         Ok(session)
     }
@@ -148,24 +149,25 @@
     pub async fn attempt(&self, mut trial: Trial, mut passing: Passing) -> End {
         let until = Instant::now() + trial.timeout;
         if self.dialer.is_barred(&trial.address) {
-            return Status::Moot.into();
+            return EndReason::NotSent.into();
         }
         // What breaks on a session that was kept may have run, so that what must not run twice gets a new one.
         let kept = if trial.alone { None } else { self.take(&trial.address) };
         // How it has broken, until something came back.
-        let mut broken = if kept.is_some() { Status::Stale } else { Status::Reset };
+        let mut broken =
+            if kept.is_some() { EndReason::KeptConnectionBroke } else { EndReason::ConnectionBroke };
         let mut session = match kept {
             Some(session) => session,
             None => match timeout_at(until, self.open(&trial.address)).await {
                 Ok(Ok(session)) => session,
-                Ok(Err(status)) => return status.into(),
-                Err(_) => return Status::ConnectFailed.into(),
+                Ok(Err(reason)) => return reason.into(),
+                Err(_) => return EndReason::DialFailed.into(),
             },
         };
         // The body goes with its last byte: a long stream keeps none of it.
         let body = std::mem::take(&mut trial.work.body);
         // Text messages carry text: a body that is none is not sent, rather than sent as something else.
-        let Ok(body) = std::str::from_utf8(&body) else { return Status::Moot.into() };
+        let Ok(body) = std::str::from_utf8(&body) else { return EndReason::NotSent.into() };
         let request = format!(
             r#"{{"type":"request","id":{},"target":{},"expires_in_ms":{},"body":{}}}"#,
             json::to_string(&*trial.work.name),
@@ -176,39 +178,39 @@
         // A message whose last byte was not written is no request.
         match timeout_at(until, session.send(Message::Text(request.into()))).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) if broken == Status::Stale => return Status::Moot.into(),
-            Ok(Err(_)) => return Status::ConnectFailed.into(),
-            Err(_) => return Status::Timeout.into(),
+            Ok(Err(_)) if broken == EndReason::KeptConnectionBroke => return EndReason::NotWritten.into(),
+            Ok(Err(_)) => return EndReason::DialFailed.into(),
+            Err(_) => return EndReason::Silent.into(),
         }
         loop {
             let message = match passing.next(until, session.next()).await {
                 Ok(Some(Ok(message))) => message,
                 Ok(Some(Err(_)) | None) => return broken.into(),
-                Err(status) => return status.into(),
+                Err(reason) => return reason.into(),
             };
             let text = match message {
                 Message::Text(text) => text,
                 Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => continue,
                 Message::Close(_) => return broken.into(),
-                Message::Binary(_) => return Status::Error.into(),
+                Message::Binary(_) => return EndReason::UnreadableAnswer.into(),
             };
-            broken = Status::Reset;
+            broken = EndReason::ConnectionBroke;
             match parse(&text, &trial.work.name) {
                 Sense::Data(data) => {
-                    if let Err(status) = passing.data(&data).await {
-                        return status.into();
+                    if let Err(reason) = passing.data(&data).await {
+                        return reason.into();
                     }
                 }
                 Sense::End(end) => {
                     let begun = passing.begun();
-                    let end = match end.status {
-                        Status::Ok => passing.end().await.map_or_else(End::from, |()| end),
-                        Status::Error => Status::Error.into(),
+                    let end = match end.reason {
+                        EndReason::Served => passing.end().await.map_or_else(End::from, |()| end),
+                        EndReason::ErrorAnswer | EndReason::UnreadableAnswer => end,
                         // A stream that ends otherwise has broken.
-                        _ if begun => Status::Reset.into(),
+                        _ if begun => EndReason::ConnectionBroke.into(),
                         _ => end,
                     };
-                    if !matches!(end.status, Status::Error | Status::Reset) {
+                    if !matches!(end.reason.status(), Status::Error | Status::Reset) {
                         self.keep(&trial.address, session);
                     }
                     return end;
