--- /dev/null
+++ b/tests/incident.rs
@@ -0,0 +1,124 @@
+//! The incident of 2026-12-02 with the real program: a writer's machine takes connections and bytes, and nothing runs there.
+
+mod stand;
+
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_quartzhall");
+/// A test that waits longer has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The program, which does not outlive its test.
+struct Program {
+    child: Child,
+    config: std::path::PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+async fn bind() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// The head of a message, and its body by its length.
+async fn message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut some = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                let (name, value) = line.split_once(':')?;
+                name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok())?
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let read = stream.read(&mut some).await.ok().filter(|read| *read > 0)?;
+        bytes.extend_from_slice(&some[..read]);
+    }
+}
+
+/// A reader that reads at once, and tells of each release.
+async fn reader(listener: TcpListener, released: mpsc::UnboundedSender<String>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let released = released.clone();
+        tokio::spawn(async move {
+            while let Some(text) = message(&mut stream).await {
+                let answer = if text.starts_with("DELETE ") {
+                    let _ = released.send(text.lines().next().unwrap_or_default().to_owned());
+                    "HTTP/1.1 204 No Content\r\n\r\n"
+                } else {
+                    "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}"
+                };
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        });
+    }
+}
+
+fn start(listen: &str, reader: &str, writer: &str) -> Program {
+    let member = |id: &str, address: &str, flavor: &str| {
+        format!(
+            r#"{{"id":"{id}","host_port":"{address}","locality":"east","flavor":"{flavor}","cell":1,"phase":"Ready"}}"#
+        )
+    };
+    let members = [member("r", reader, "prefill"), member("w", writer, "decode")].join(",");
+    let text = format!(
+        r#"{{"name":"n1","listen":"{listen}","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{{"revision":1,"complete":true,"members":[{members}]}},"settings":{}}}"#,
+        stand::PROFILE
+    );
+    let config = std::env::temp_dir().join(format!("quartzhall-incident-{}.json", std::process::id()));
+    std::fs::write(&config, text).unwrap();
+    let mut command = Command::new(PROGRAM);
+    command.args(["serve", "--config"]).arg(&config).stderr(Stdio::null());
+    Program { child: command.spawn().unwrap(), config }
+}
+
+async fn connect(address: &str) -> TcpStream {
+    let connects = async {
+        loop {
+            if let Ok(stream) = TcpStream::connect(address).await {
+                return stream;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, connects).await.expect("it listens")
+}
+
+/// The client waits for 4 s and the state may be held for 1 s: it is released while the client still waits.
+#[tokio::test]
+async fn a_state_is_released_while_its_send_lies_at_a_silent_writer() {
+    let (reading, reader_address) = bind().await;
+    let (_writer_takes_connections_and_reads_nothing, writer_address) = bind().await;
+    let (released, mut releases) = mpsc::unbounded_channel();
+    tokio::spawn(reader(reading, released));
+    let listen = bind().await.1;
+    let _program = start(&listen, &reader_address, &writer_address);
+    let mut client = connect(&listen).await;
+    let request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 00000000000000aa\r\nX-Qos: status-query\r\nX-Customer: acme\r\nX-Object: 1\r\nX-Expires-In-Ms: 4000\r\nX-Props: prompt_len=100,max_out=10\r\nContent-Length: 2\r\n\r\n{}";
+    client.write_all(request.as_bytes()).await.unwrap();
+    let mut some = [0; 64];
+    let first = async {
+        tokio::select! {
+            release = releases.recv() => release.expect("the reader runs"),
+            answer = client.read(&mut some) => format!("an answer: {answer:?}"),
+        }
+    };
+    let first = tokio::time::timeout(PATIENCE, first).await.expect("a release or an answer");
+    assert_eq!(first, "DELETE /kv/leases/00000000000000aa HTTP/1.1");
+}
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -2,6 +2,7 @@
 
 mod stand;
 
+use futures_util::FutureExt;
 use quartzhall::api::{RequestId, Status};
 use quartzhall::dispatch::{Command, Event, Inbox, Piece, Work};
 use stand::{node_side, node_side_for, Fleet, Way, ANSWER};
@@ -9,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout, Instant};
 
 fn work(name: &str) -> Work {
     Work { name: name.into(), target: "/v1/chat/completions".into(), body: "{}".into() }
@@ -314,3 +315,54 @@
     let gone = timeout(Duration::from_secs(5), busy.read(&mut [0])).await.expect("let go");
     assert!(matches!(gone, Ok(0)));
 }
+
+/// Accepts a connection and reads a whole request from it, on a thread of its own: the paused clock stands meanwhile.
+async fn hear_paused(listener: std::net::TcpListener) -> std::net::TcpStream {
+    let hears = move || {
+        let mut stream = listener.accept().unwrap().0;
+        let mut text = Vec::new();
+        while !text.ends_with(b"\r\n\r\n{}") {
+            let mut some = [0; 1024];
+            let read = std::io::Read::read(&mut stream, &mut some).unwrap();
+            text.extend_from_slice(&some[..read]);
+        }
+        stream.set_nonblocking(true).unwrap();
+        stream
+    };
+    tokio::task::spawn_blocking(hears).await.unwrap()
+}
+
+/// An attempt that is given up is out until its connection is closed: what follows from its end, such as a refusal, must not
+/// come before that, whichever task runs first.
+#[tokio::test(start_paused = true)]
+async fn the_end_of_an_attempt_that_is_given_up_is_told_after_its_connection_is_closed() {
+    for cancels in [false, true] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let (commands, mut inbox) = node_side(&[]);
+        let began = Instant::now();
+        let limit = Duration::from_millis(if cancels { 5_000 } else { 100 });
+        let Command::Send { id, attempt, address, work, alone, .. } = send(2, &address) else {
+            unreachable!()
+        };
+        let send = Command::Send { id, attempt, address, work, timeout: limit, alone };
+        // Wakes together with the attempt, and so runs before what that one wakes.
+        let mut with_attempt = std::pin::pin!(sleep_until(began + limit));
+        assert!(with_attempt.as_mut().now_or_never().is_none());
+        commands.send(send).await.unwrap();
+        let mut server = hear_paused(listener).await;
+        let expected = match cancels {
+            true => {
+                commands.send(Command::Cancel { id: 2, attempt: 0 }).await.unwrap();
+                Status::Cancelled
+            }
+            false => {
+                with_attempt.await;
+                Status::Timeout
+            }
+        };
+        assert_eq!(ended(&mut inbox).await, expected);
+        let end = std::io::Read::read(&mut server, &mut [0; 16]);
+        assert!(matches!(end, Ok(0)), "cancels {cancels}: {end:?}");
+    }
+}
