Release held states in time whatever is out, and close an attempt before its end is told

Cause: a local step was taken for its effect at the server. Bytes that a connection took were taken for a send that has arrived (Held::lets_go waited for the end of any attempt that was out), and any end but a failed connect gave the held state new time (idle_since), as did a release that had not been taken. In the same way an attempt's end was told before its connection was closed: the client's library closes it some turns later.

Change: dispatch/lease keeps what servers may hold for a request. Release calls go to the servers heard of last, and double every 30 ms until one answers: 64 servers within 0.2 s, in later rounds on new connections. dispatch/request has typed phases in place of loose booleans. nodes/http closes the connection of an exchange that is given up at that moment.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -4,8 +4,9 @@
 use super::nodes::{News, Nodes};
 use super::reasons::{CloseReason, EndReason, ReleaseReason};
 use super::report::{Kind, Report};
+use super::request::{Attempt, Ended, Request};
 use super::rules::Rule;
-use super::table::{Attempt, Ended, Held, Table};
+use super::table::Table;
 use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, Settings, State, Status, Time};
 use crate::bans::Marks;
 use crate::gossip::Gossip;
@@ -163,15 +164,17 @@
             Event::Released { id, done } => {
                 if !done {
                     self.report.count(now, Kind::ReleaseFailed);
-                    warn!(self.log, "no server has taken a release"; "id" => id);
+                    self.violation(now, Rule::HeldState, id);
                 }
                 if let Some(held) = self.requests.get_mut(id) {
-                    held.releasing = false;
-                    held.idle_since = now;
+                    held.lease.release_ended();
                 }
                 self.settle(now, id);
             }
             Event::Probed { server, ok, load } => {
+                if ok {
+                    self.nodes.heard_from(now, server);
+                }
                 self.tell(now, server, false, load.as_ref());
                 self.step(now, api::Event::Probed { server, ok, load });
             }
@@ -312,7 +315,7 @@
             "expires_in" => ask.expires_in, "prompt" => ask.prompt, "shared" => ask.prefix_tokens);
         let once = class.is_none_or(|class| class.effect == Effect::Unsafe);
         self.note(|notes| notes.arrival(now, &ask));
-        self.requests.enter(id, Held::new(now, &ask, work, once, answer));
+        self.requests.enter(id, Request::new(now, &ask, work, once, answer));
         self.step(now, api::Event::Request(ask));
     }
 
@@ -339,7 +342,7 @@
         let Some(held) = self.requests.get_mut(id) else { return };
         held.fate = fate;
         // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
-        if !std::mem::replace(&mut held.closed, true) {
+        if held.close() {
             held.answer = None;
             self.report.count(now, Kind::Close(CloseReason::ClientLeft));
             debug!(self.log, "client left"; "id" => id);
@@ -352,7 +355,7 @@
     fn first(&mut self, now: Time, id: RequestId, attempt: u32, stream: mpsc::Receiver<Piece>) {
         let Some(held) = self.requests.get_mut(id) else { return };
         // Dropping the stream of an attempt that came too late ends it at its node.
-        if !held.is_open() || !held.is_out(attempt) {
+        if !held.is_waiting() || !held.is_out(attempt) {
             return;
         }
         let Some(answer) = held.answer.take() else { return };
@@ -360,7 +363,10 @@
             // The client left at this moment; its ticket tells so.
             return;
         }
-        held.begin(attempt);
+        held.begin_stream(attempt);
+        if let Some(server) = held.attempts.get(attempt as usize).map(|it| it.server) {
+            self.nodes.heard_from(now, server);
+        }
         debug!(self.log, "first event"; "id" => id, "attempt" => attempt);
         self.note(|notes| notes.first(now, id, attempt));
         self.step(now, api::Event::First { id, attempt });
@@ -372,7 +378,10 @@
         let status = reason.status();
         let Some(held) = self.requests.get_mut(id) else { return };
         let role = |server| self.nodes.get(server).map(|node| node.role);
-        let Some(Ended { server, streamed }) = held.ended(now, attempt, reason, note, role) else { return };
+        let Some(Ended { server, streamed }) = held.attempt_ended(now, attempt, reason, role) else { return };
+        if reason.is_answer() {
+            self.nodes.heard_from(now, server);
+        }
         if let Some(notes) = self.notes.as_mut().filter(|_| streamed) {
             // By its good end, or by its break; its client may have left before.
             notes.over(now, id, if status == Status::Ok { Noted::Served } else { Noted::Broken });
@@ -383,14 +392,14 @@
         }
         // While sends reach nobody, the module may send again at once, each time: what a broken read may have left is let
         // go of in between.
-        if self.requests.get(id).is_some_and(Held::is_open) {
+        if self.requests.get(id).is_some_and(Request::is_waiting) {
             self.settle(now, id);
         }
         // What one node finds bad the others would too: it would go round the whole fleet, and they be blamed.
         if status == Status::Rejected {
             self.close(now, id, CloseReason::BadRequest, Answer::Rejected);
         }
-        let closed = self.requests.get(id).is_some_and(|held| held.closed);
+        let closed = self.requests.get(id).is_some_and(Request::is_closed);
         self.log_end(now, id, attempt, reason);
         debug!(self.log, "attempt ended"; "id" => id, "attempt" => attempt, "server" => server,
             "status" => ?status, "note" => note, "closed" => closed);
@@ -454,7 +463,7 @@
                 Action::Cancel { id, attempt } => {
                     let held = self.requests.get(id);
                     // A stream that has begun belongs to the client and is not withdrawn.
-                    if held.is_some_and(|held| held.begun != Some(attempt) && held.is_out(attempt)) {
+                    if held.is_some_and(|held| held.stream() != Some(attempt) && held.is_out(attempt)) {
                         self.commands.push(Command::Cancel { id, attempt });
                     }
                 }
@@ -469,7 +478,7 @@
                 }
                 Action::Release { id } => {
                     if let Some(held) = self.requests.get_mut(id) {
-                        (held.known, held.stray) = (false, true);
+                        held.lease.give_up(now);
                     }
                     self.settle(now, id);
                 }
@@ -491,9 +500,9 @@
         let Some(held) = self.requests.get_mut(id) else { return };
         let attempt = held.attempts.len() as u32;
         let node = self.nodes.get(server).filter(|node| node.state == State::Ready);
-        let live = held.is_open() && now < held.deadline;
+        let live = held.is_waiting() && now < held.deadline;
         let before = held.attempts.last().map(|it| it.ended);
-        held.attempts.push(Attempt { server, out: true, reached: false, sent: now, ended: None });
+        held.attempts.push(Attempt { server, sent: now, ended: None });
         let Some(node) = node.filter(|_| live) else {
             // What the rules forbid is not sent, whoever asks for it.
             let rule = if live { Rule::Drain } else { Rule::RequestOver };
@@ -523,8 +532,8 @@
 
     /// The one place for final answers but streams.
     fn close(&mut self, now: Time, id: RequestId, reason: CloseReason, answer: Answer) {
-        let Some(held) = self.requests.get_mut(id).filter(|held| held.is_open()) else { return };
-        held.closed = true;
+        let Some(held) = self.requests.get_mut(id).filter(|held| held.is_waiting()) else { return };
+        held.close();
         if self.report.count(now, Kind::Close(reason)) {
             info!(self.log, "request closed"; "id" => id, "name" => %held.work.name, "reason" => ?reason,
                 "attempts" => held.attempts.len(), "last_end" => ?held.attempts.last().and_then(|it| it.ended));
@@ -543,7 +552,7 @@
     /// Looks after one request: its deadline, and what was held for too long.
     fn sweep(&mut self, now: Time, id: RequestId) {
         let Some(held) = self.requests.get(id) else { return };
-        if held.is_open() && now >= held.deadline {
+        if held.is_waiting() && now >= held.deadline {
             // The module ends requests in time by itself; this guards the client against a mistake there.
             self.violation(now, Rule::FinalAnswer, id);
             self.close(now, id, CloseReason::DeadlinePassed, Answer::Failed);
@@ -554,15 +563,17 @@
 
     /// Lets go of what is held where nothing needs it, and forgets the request when all of it is over.
     fn settle(&mut self, now: Time, id: RequestId) {
-        let Some(held) = self.requests.get_mut(id) else { return };
-        let (out, over) = (held.out(), !held.is_open());
-        if held.lets_go(now, self.site.settings.release_within) {
-            // Any node passes it on.
-            let addresses = self.nodes.addresses(held.tried());
-            let name = held.work.name.clone();
-            let reason = if over { ReleaseReason::NotNeeded } else { ReleaseReason::HeldTooLong };
-            if self.report.count(now, Kind::Release(reason)) && !over {
-                info!(self.log, "release"; "id" => id, "name" => %name, "reason" => ?reason, "attempt_out" => out);
+        let Some(request) = self.requests.get_mut(id) else { return };
+        // A stream that goes on needs no state any more; any other attempt may wait for one.
+        let attempt_out = request.stream().is_none() && request.has_attempt_out();
+        let (is_needed, release_within) = (request.is_waiting(), self.site.settings.release_within);
+        if let Some(reason) = request.lease.start_release(now, release_within, is_needed, attempt_out) {
+            let name = request.work.name.clone();
+            // Any server passes it on.
+            let addresses = self.nodes.addresses(request.tried());
+            if self.report.count(now, Kind::Release(reason)) && reason != ReleaseReason::NotNeeded {
+                info!(self.log, "release"; "id" => id, "name" => %name, "reason" => ?reason,
+                    "attempts" => request.attempts.len(), "left_ms" => request.deadline.saturating_sub(now) / 1000);
             }
             self.commands.push(Command::Release { id, name, addresses });
         }
--- /dev/null
+++ b/src/dispatch/lease.rs
@@ -0,0 +1,108 @@
+//! What servers may hold for one request, as far as this dispatcher can know, and when they have to release it.
+//!
+//! Nothing here tells a send that has arrived from one that has not: bytes that a connection took may lie at a machine on
+//! which nothing runs. So an attempt that is out stops no clock. Time counts from the last answer of a server, and when it is
+//! up servers are told to release, whatever is out: a running server keeps what an attempt waits for there, and one that
+//! takes the send later finds no state and says so.
+
+use super::reasons::{EndReason, ReleaseReason};
+use crate::api::{Role, Time};
+
+/// What may be left without anybody asking for it is released after this part (in tenths) of the time allowed ...
+const UNCLAIMED_TENTHS: Time = 4;
+/// ... and what the decision module looks for a writer for, or an attempt is out for, after this part.
+const CLAIMED_TENTHS: Time = 9;
+
+/// What servers hold for a request.
+#[derive(Debug, Default)]
+pub(super) struct Lease {
+    /// A read has ended well, and its state waits: since the last answer of a server.
+    known: Option<Time>,
+    /// Something may wait of which no answer has told, since then at the latest.
+    possible: Option<Time>,
+    /// Servers were told to release while an attempt was out. One that had taken it has kept the state.
+    released_under_attempt: bool,
+    /// A release is under way.
+    releasing: bool,
+}
+
+impl Lease {
+    /// An attempt at a server of this role has ended.
+    pub fn attempt_ended(&mut self, now: Time, role: Option<Role>, reason: EndReason) {
+        let may_keep = std::mem::take(&mut self.released_under_attempt) && role != Some(Role::Reader);
+        if reason.is_answer() {
+            // A running server had the attempt up to now: what is held has its whole time again.
+            self.known = self.known.map(|_| now);
+            self.possible = self.possible.map(|_| now);
+        }
+        match reason {
+            EndReason::Read => self.known = Some(now),
+            EndReason::StateGone => self.known = None,
+            _ if reason.never_arrived() => {}
+            // A read may have ended well at the moment its connection broke or was closed.
+            _ if role != Some(Role::Writer) && reason.may_have_read() => self.may_hold(now),
+            _ if may_keep => self.may_hold(now),
+            _ => {}
+        }
+    }
+
+    fn may_hold(&mut self, now: Time) {
+        self.possible.get_or_insert(now);
+    }
+
+    /// A stream has begun: with it all else that servers hold goes by itself.
+    pub fn stream_began(&mut self) {
+        (self.known, self.possible, self.released_under_attempt) = (None, None, false);
+    }
+
+    /// The decision module needs nothing of it any more.
+    pub fn give_up(&mut self, now: Time) {
+        self.possible = self.known.take().or(self.possible).or(Some(now));
+    }
+
+    /// Whether something may be held.
+    pub fn may_be_held(&self) -> bool {
+        self.known.is_some() || self.possible.is_some()
+    }
+
+    /// Whether a release is under way.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing
+    }
+
+    /// When servers are to be told to release, as it stands.
+    fn due_at(&self, release_within: Time, attempt_out: bool) -> Option<Time> {
+        let after = |tenths: Time| release_within * tenths / 10;
+        let is_claimed = self.known.is_some() || attempt_out;
+        let of_possible = after(if is_claimed { CLAIMED_TENTHS } else { UNCLAIMED_TENTHS });
+        let known = self.known.map(|since| since.saturating_add(after(CLAIMED_TENTHS)));
+        let possible = self.possible.map(|since| since.saturating_add(of_possible));
+        known.into_iter().chain(possible).min()
+    }
+
+    /// Why servers are to be told to release now, if they are; that is under way from here on. `is_needed`: the request
+    /// may still be served with what is held.
+    pub fn start_release(
+        &mut self, now: Time, release_within: Time, is_needed: bool, attempt_out: bool,
+    ) -> Option<ReleaseReason> {
+        let due_at = self.due_at(release_within, attempt_out).filter(|_| !self.releasing)?;
+        let reason = match (is_needed || attempt_out, attempt_out) {
+            (false, _) => ReleaseReason::NotNeeded,
+            (true, _) if now < due_at => return None,
+            (true, false) => ReleaseReason::HeldTooLong,
+            (true, true) => ReleaseReason::SendNotHeard,
+        };
+        (self.known, self.possible) = (None, None);
+        (self.releasing, self.released_under_attempt) = (true, attempt_out);
+        Some(reason)
+    }
+
+    /// The release that was under way is over.
+    pub fn release_ended(&mut self) {
+        self.releasing = false;
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/dispatch_lease.rs"]
+mod tests;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,10 +7,12 @@
 mod clock;
 mod core;
 mod door;
+mod lease;
 mod messages;
 mod nodes;
 mod reasons;
 mod report;
+mod request;
 mod rules;
 mod table;
 
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -12,6 +12,8 @@
 /// Addresses that one call is passed on to at the most: any node takes it, and all of a large fleet are not to be listed
 /// for each.
 const MOST_ADDRESSES: usize = 64;
+/// Of these, so many are the servers that were heard of last.
+const MOST_HEARD: usize = 32;
 
 /// A node of the table.
 pub(super) struct Node {
@@ -50,6 +52,8 @@
     barred: HashSet<Arc<str>>, // addresses to which nothing new may go, as was last commanded
     bans: Bans,
     bans_changed: bool,
+    heard: BTreeSet<(Time, ServerId)>, // when each server was last heard of
+    heard_at: HashMap<ServerId, Time>,
 }
 
 impl Nodes {
@@ -73,12 +77,25 @@
         named.first().copied()
     }
 
-    /// Where something may be passed on for a request: where it was tried, in that order, then some others.
+    /// A server has answered something: it runs.
+    pub fn heard_from(&mut self, now: Time, server: ServerId) {
+        if !self.nodes.contains_key(&server) {
+            return;
+        }
+        if let Some(before) = self.heard_at.insert(server, now) {
+            self.heard.remove(&(before, server));
+        }
+        self.heard.insert((now, server));
+    }
+
+    /// Where something may be passed on for a request: the servers heard of last, for they are the likeliest to run; then those
+    /// where it was tried, in that order; then some others.
     pub fn addresses(&self, tried: impl Iterator<Item = ServerId>) -> Vec<Arc<str>> {
-        let tried = tried.filter_map(|server| self.nodes.get(&server));
+        let heard = self.heard.iter().rev().map(|(_, server)| *server).take(MOST_HEARD);
+        let known = heard.chain(tried).filter_map(|server| self.nodes.get(&server));
         let rest = self.nodes.values().filter(|node| node.state == State::Ready);
         let mut seen = HashSet::new();
-        let known = tried.chain(rest).filter(|node| node.state != State::Gone);
+        let known = known.chain(rest).filter(|node| node.state != State::Gone);
         let addresses = known.map(|node| &node.address).filter(|address| seen.insert(*address));
         addresses.take(MOST_ADDRESSES).cloned().collect()
     }
@@ -210,6 +227,9 @@
         let over: Vec<ServerId> = self.nodes.iter().filter(over).map(|(server, _)| *server).collect();
         for server in &over {
             let Some(node) = self.nodes.remove(server) else { continue };
+            if let Some(at) = self.heard_at.remove(server) {
+                self.heard.remove(&(at, *server));
+            }
             self.numbers.remove(&node.name);
             let hash = gossip::key(node.listed.key);
             let named = self.hashed.get_mut(&hash).is_some_and(|named| {
--- a/src/dispatch/reasons.rs
+++ b/src/dispatch/reasons.rs
@@ -84,6 +84,35 @@
         }
     }
 
+    /// Whether a running server has answered this attempt.
+    pub fn is_answer(self) -> bool {
+        matches!(
+            self,
+            EndReason::Served
+                | EndReason::Read
+                | EndReason::TurnedAway
+                | EndReason::StateGone
+                | EndReason::BadRequest
+                | EndReason::ErrorAnswer
+        )
+    }
+
+    /// Whether it is certain that no server had the whole request.
+    pub fn never_arrived(self) -> bool {
+        matches!(self.status(), Status::ConnectFailed | Status::Moot)
+    }
+
+    /// Whether it is certain that the request had no effect by this attempt.
+    pub fn never_ran(self) -> bool {
+        let turned_away = matches!(self.status(), Status::Full | Status::Rejected | Status::Read);
+        turned_away || self.never_arrived()
+    }
+
+    /// Whether a server that reads may have read the prompt to its end, although it did not say so.
+    pub fn may_have_read(self) -> bool {
+        !self.never_arrived() && (!self.is_answer() || self == EndReason::ErrorAnswer)
+    }
+
     /// Whether attempts end so in the ordinary course of a request.
     pub fn is_ordinary(self) -> bool {
         matches!(self, EndReason::Served | EndReason::Read | EndReason::Cancelled | EndReason::ClientLeft)
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Is closed at this moment, whatever is under way on it.
+    pub fn close(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            let _ = SockRef::from(&*stream).shutdown(Shutdown::Both); // it may be closed already
+        }
+    }
+
     fn is_idle(&self) -> bool {
         !self.waits.load(Ordering::Relaxed) && self.answer().is_over()
     }
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::http::Extensions;
 use hyper::{header, HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::connect::capture_connection;
+use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use miniserde::{json, Deserialize};
@@ -161,6 +161,34 @@
     log: Logger,
 }
 
+/// The connection of an exchange that has not been answered yet. It is closed when this is let go, at that moment: the
+/// client's library closes it some turns later, and what follows from the end of an attempt must not come before that.
+#[derive(Default)]
+struct OpenExchange {
+    taken: Option<CaptureConnection>,
+}
+
+impl OpenExchange {
+    fn carried(&self) -> Option<Arc<Carried>> {
+        let mut extras = Extensions::new();
+        self.taken.as_ref()?.connection_metadata().as_ref()?.get_extras(&mut extras);
+        extras.remove::<Arc<Carried>>()
+    }
+
+    /// The exchange has come to its end, and its connection may be used again.
+    fn ended(&mut self) {
+        self.taken = None;
+    }
+}
+
+impl Drop for OpenExchange {
+    fn drop(&mut self) {
+        if let Some(carried) = self.carried() {
+            carried.close();
+        }
+    }
+}
+
 /// A stream on its way.
 struct Stream {
     body: Incoming,
@@ -225,20 +253,16 @@
 
     /// One request and the head of its answer; `alone`: on a connection of its own.
     async fn exchange(
-        &self, mut request: Request<Once>, alone: bool,
+        &self, mut request: Request<Once>, alone: bool, open: &mut OpenExchange,
     ) -> Result<(Response<Incoming>, Option<Arc<Carried>>), Failure> {
         let client = {
             let pool = self.pool();
             let single = alone || Instant::now() < pool.distrusted_until;
             if single { &self.single } else { &pool.client }.clone()
         };
-        let taken = capture_connection(&mut request);
+        open.taken = Some(capture_connection(&mut request));
         let answer = client.request(request).await;
-        let mut extras = Extensions::new();
-        if let Some(connected) = &*taken.connection_metadata() {
-            connected.get_extras(&mut extras);
-        }
-        let carried = extras.remove::<Arc<Carried>>();
+        let carried = open.carried();
         let of = carried.clone();
         answer.map(|answer| (answer, of)).map_err(|error| {
             let carried = carried.as_ref();
@@ -250,10 +274,14 @@
         })
     }
 
-    async fn call(&self, method: Method, address: &str, target: &str) -> Option<Response<Incoming>> {
+    async fn call(
+        &self, method: Method, address: &str, target: &str, alone: bool,
+    ) -> Option<Response<Incoming>> {
         let body = Once { body: None, taken: Arc::default() };
         let request = Request::builder().method(method).uri(format!("http://{address}{target}")).body(body);
-        let answer = self.exchange(request.ok()?, false).await;
+        let mut open = OpenExchange::default();
+        let answer = self.exchange(request.ok()?, alone, &mut open).await;
+        open.ended();
         answer
             .map_err(|it| debug!(self.log, "a call failed"; "address" => address, "error" => ?it.error))
             .ok()
@@ -275,6 +303,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(body);
         let Ok(request) = request else { return EndReason::NotSent.into() };
+        let mut open = OpenExchange::default();
         let exchange = tokio::select! {
             biased;
             // The drain rule counts from a send's first byte: one that still waits for a connection when its
@@ -282,7 +311,7 @@
             () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
                 return EndReason::Barred.into();
             }
-            exchange = timeout_at(until, self.exchange(request, trial.alone)) => exchange,
+            exchange = timeout_at(until, self.exchange(request, trial.alone, &mut open)) => exchange,
         };
         let (response, carried) = match exchange {
             Ok(Ok(exchanged)) => exchanged,
@@ -303,10 +332,14 @@
             }
             Err(_) => return EndReason::Silent.into(),
         };
+        // Whatever else the answer says, it has come.
+        if !matches!(response.status(), StatusCode::OK | StatusCode::ACCEPTED) {
+            open.ended();
+        }
         let load = load_of(response.headers());
         let never_ran = response.headers().get("x-never-ran").is_some_and(|value| value == "1");
         match response.status() {
-            StatusCode::OK => self.stream(until, response, carried, passing).await,
+            StatusCode::OK => self.stream(until, response, carried, passing, open).await,
             StatusCode::ACCEPTED => {
                 let body = Limited::new(response.into_body(), SHORT_ANSWER).collect();
                 match timeout_at(until, body).await {
@@ -314,6 +347,7 @@
                         let body = body.to_bytes();
                         let kept = std::str::from_utf8(&body).ok().and_then(|it| json::from_str(it).ok());
                         let note = kept.and_then(|kept: Kept| kept.cached_tokens).unwrap_or(0.0);
+                        open.ended();
                         End { reason: EndReason::Read, note, written: 0.0, load }
                     }
                     Ok(Err(_)) => EndReason::ConnectionBroke.into(),
@@ -338,6 +372,7 @@
 
     async fn stream(
         &self, until: Instant, response: Response<Incoming>, carried: Option<Arc<Carried>>, passing: Passing,
+        mut open: OpenExchange,
     ) -> End {
         let load = load_of(response.headers());
         let kind = response.headers().get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
@@ -354,6 +389,7 @@
             };
             match next {
                 Ok(next) => match self.take(&mut stream, next).await {
+                    Ok(true) if stream.passing.begun() => open.ended(),
                     Ok(true) => {}
                     Ok(false) => break,
                     Err(reason) => return reason.into(),
@@ -369,6 +405,7 @@
                 },
             }
         }
+        open.ended();
         if let Err(reason) = stream.passing.end().await {
             return End { load, ..reason.into() };
         }
@@ -419,10 +456,9 @@
     }
 
     /// Asks a node to let go of what is held for a request; true when it said that it has.
-    pub async fn release(&self, name: &str, address: &str) -> bool {
-        let Some(answer) = self.call(Method::DELETE, address, &format!("/kv/leases/{name}")).await else {
-            return false;
-        };
+    pub async fn release(&self, name: &str, address: &str, fresh: bool) -> bool {
+        let target = format!("/kv/leases/{name}");
+        let Some(answer) = self.call(Method::DELETE, address, &target, fresh).await else { return false };
         let done = answer.status().is_success();
         // Read to its end, so that its connection can be used again.
         let _ = Limited::new(answer.into_body(), SHORT_ANSWER).collect().await;
@@ -431,7 +467,7 @@
 
     /// Asks a node for its load: whether it is well, and its report.
     pub async fn probe(&self, address: &str) -> Option<(bool, Option<Load>)> {
-        let answer = self.call(Method::GET, address, "/status/load").await?;
+        let answer = self.call(Method::GET, address, "/status/load", false).await?;
         let ok = answer.status() == StatusCode::OK;
         let load = load_of(answer.headers());
         let body = Limited::new(answer.into_body(), SHORT_ANSWER).collect().await.ok()?.to_bytes();
--- a/src/nodes/mod.rs
+++ b/src/nodes/mod.rs
@@ -21,21 +21,23 @@
 use sessions::Sessions;
 use slog::{error, warn, Logger};
 use std::collections::{HashMap, HashSet};
+use std::future::Future;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::error::Elapsed;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-/// A lease call waits so long for one node's answer ...
-const LEASE_CALL: Duration = Duration::from_millis(150);
-/// ... and the next node is called after this, ...
-const LEASE_STEP: Duration = Duration::from_millis(50);
-/// ... and so long in all; nodes free by themselves what is left then.
-const LEASE_TRIES: Duration = Duration::from_secs(5);
-/// Between two rounds of lease calls.
-const LEASE_PAUSE: Duration = Duration::from_millis(20);
+/// A release call waits so long for one server's answer ...
+const RELEASE_CALL: Duration = Duration::from_millis(250);
+/// ... and after this more servers are called: one at first, and each time as many as were called before.
+const RELEASE_STEP: Duration = Duration::from_millis(30);
+/// A release is tried for so long in all; servers free by themselves what is left then.
+const RELEASE_TRIES: Duration = Duration::from_secs(5);
+/// Between two rounds of calls to all servers.
+const RELEASE_PAUSE: Duration = Duration::from_millis(20);
 /// So much of all connections to nodes may stand idle at one of them.
 const IDLE_PART: usize = 12;
 /// So many commands are taken at once.
@@ -62,30 +64,43 @@
         }
     }
 
-    async fn release_at(&self, name: &str, address: &Arc<str>) -> bool {
+    /// Tells one server to release; true when it said that it has. `fresh`: on a connection of its own, for kept ones may have
+    /// fallen silent.
+    async fn release_at(&self, name: &str, address: &Arc<str>, fresh: bool) -> bool {
         if self.speak_sessions.contains(&**address) {
-            self.sessions.release(name, address).await
+            self.sessions.release(name, address, fresh).await
         } else {
-            self.http.release(name, address).await
+            self.http.release(name, address, fresh).await
         }
     }
 
-    /// Lets go of what is held for a request: any node passes it on. One that can't be reached may have died with the
-    /// state, and the time in which it must be let go runs on: the next node is called before one is given up.
+    /// Has servers release what they hold for a request, and tells whether one said that it has: any server passes it on. The
+    /// call counts when a running server has read it, and nothing tells which ones run. So more and more are called until one
+    /// answers: all of them within a few steps.
     async fn release(&self, name: &str, addresses: &[Arc<str>]) -> bool {
-        let until = Instant::now() + LEASE_TRIES;
+        let until = Instant::now() + RELEASE_TRIES;
         let mut calls = FuturesUnordered::new();
+        let mut fresh = false;
         while Instant::now() < until && !addresses.is_empty() {
-            for address in addresses {
-                calls.push(timeout(LEASE_CALL, self.release_at(name, address)));
-                if let Ok(Some(Ok(true))) = timeout(LEASE_STEP, calls.next()).await {
+            let mut called = 0;
+            while called < addresses.len() {
+                let next = called.max(1).min(addresses.len() - called);
+                for address in &addresses[called..called + next] {
+                    calls.push(timeout(RELEASE_CALL, self.release_at(name, address, fresh)));
+                }
+                called += next;
+                if first_done(&mut calls, Instant::now() + RELEASE_STEP).await {
                     return true;
                 }
             }
-            sleep(LEASE_PAUSE).await;
+            fresh = true;
+            sleep(RELEASE_PAUSE).await;
         }
-        warn!(self.log, "a lease could not be let go"; "name" => name, "servers" => addresses.len());
-        false
+        let done = first_done(&mut calls, Instant::now() + RELEASE_CALL).await;
+        if !done {
+            warn!(self.log, "no server has taken a release"; "name" => name, "servers" => addresses.len());
+        }
+        done
     }
 
     async fn probe(&self, server: ServerId, address: &str) {
@@ -96,6 +111,29 @@
     }
 }
 
+/// Whether one of these calls is done well before this moment; those that have failed are dropped.
+async fn first_done<C>(calls: &mut FuturesUnordered<C>, until: Instant) -> bool
+where
+    C: Future<Output = Result<bool, Elapsed>>,
+{
+    let done = async {
+        while let Some(called) = calls.next().await {
+            if called == Ok(true) {
+                return true;
+            }
+        }
+        false
+    };
+    match timeout_at(until, done).await {
+        Ok(true) => true,
+        Ok(false) => {
+            sleep_until(until).await;
+            false
+        }
+        Err(_) => false,
+    }
+}
+
 /// Does what the core commands, until it ends. `places` are for connections to nodes;
 /// `speak_sessions` names the addresses of nodes that speak WebSocket sessions. Streams move to another process
 /// when `moving` says so.
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -220,8 +220,8 @@
     }
 
     /// Asks a node to let go of what is held for a request; true when it said that it has.
-    pub async fn release(&self, name: &str, address: &Arc<str>) -> bool {
-        let session = match self.take(address) {
+    pub async fn release(&self, name: &str, address: &Arc<str>, fresh: bool) -> bool {
+        let session = match if fresh { None } else { self.take(address) } {
             Some(session) => Some(session),
             None => self.reopen(address).await,
         };
