Tell servers the time that is left when a connection is up; files of the hand-over are tried again

The time told to a server was counted before its connection was up, up to 0.25 s of dial and 0.25 s of waiting for a place too much. A file of bans, or a notice, that could not be written was taken as written, one that could not be read as read and empty; a look at the folder that failed half-way took the process for alone. The order of two processes was that of wall clocks at their starts.

Change: a connection that came up late (over 50 ms) is parked, and the request made anew with what is left then: nothing had been written. handover writes and reads again what failed, syncs before the rename, removes what a killed process left half done and a dead one's socket, looks at least once a second, and tells files apart by inode; a process that starts comes after all that live, whatever its clock says.

--- a/src/dispatch/door.rs
+++ b/src/dispatch/door.rs
@@ -129,7 +129,7 @@
 pub struct Inbox {
     events: mpsc::Receiver<Event>,
     urgent: mpsc::Receiver<Event>,
-    pub(super) marks: watch::Sender<Marks>,
+    pub(crate) marks: watch::Sender<Marks>,
     pub(super) site: watch::Sender<Arc<Site>>,
     pub(super) readiness: watch::Sender<Readiness>,
     pub(super) open: watch::Sender<usize>,
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -13,20 +13,28 @@
 use slog::{info, warn, Logger};
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Read, Write};
-use std::os::unix::fs::FileExt;
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::UnixListener;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// While it is alone a process looks this often whether another one has started ...
 const ALONE: Duration = Duration::from_millis(100);
 /// ... and beside another one, what that one says.
 const BESIDE: Duration = Duration::from_millis(40);
+/// Whatever the folder's own time says, the files are looked at after this: a change within one tick of it shows no other time.
+const LOOK_AT_LEAST: Duration = Duration::from_secs(1);
+/// While the files fail, that is logged this often.
+const WARN_EACH: Duration = Duration::from_secs(10);
 /// A longer file of bans is none of ours.
 const LONGEST: u64 = 4 << 20;
+/// Endings of the files: notices, notices and bans that are being written, and sockets that take streams in.
+const NOTICE: &str = ".notice";
+const NEW_NOTICE: &str = ".new";
+const NEW_BANS: &str = ".bans-new";
 
 /// Takes the listening socket that was inherited as this descriptor; it is checked to be one.
 #[allow(unsafe_code)]
@@ -98,6 +106,26 @@
     (all != *file).then_some(all)
 }
 
+/// When a process started, in the order of them, and its number, by the name of its notice.
+fn born_and_process(name: &str, file_name: &str) -> (Option<u64>, Option<u32>) {
+    let rest = file_name.strip_prefix(name).and_then(|rest| rest.strip_prefix('-')?.strip_suffix(NOTICE));
+    let parts = rest.and_then(|rest| rest.split_once('-'));
+    (parts.and_then(|(born, _)| born.parse().ok()), parts.and_then(|(_, process)| process.parse().ok()))
+}
+
+/// Where the youngest living process of this name stands in the order, if any lives.
+fn born_of_living(folder: &Path, name: &str) -> io::Result<Option<u64>> {
+    let mut youngest = None;
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let file_name = path.file_name().and_then(|it| it.to_str()).unwrap_or("");
+        let Some(born) = born_and_process(name, file_name).0 else { continue };
+        let is_held = File::open(&path).is_ok_and(|file| file.try_lock_shared().is_err());
+        youngest = if is_held { youngest.max(Some(born)) } else { youngest };
+    }
+    Ok(youngest)
+}
+
 /// What a process sees of the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct View {
@@ -118,19 +146,33 @@
     file: File,
     path: PathBuf,
     own: Notice,
+    published: bool,
     others: Vec<Notice>,
-    looked: Option<SystemTime>,
-    bans_read: Option<(SystemTime, u64)>,
+    looked: Option<(SystemTime, Instant)>,
+    bans_read: Option<FileStamp>,
+    warned_at: Option<Instant>,
     log: Logger,
 }
 
+/// What tells one state of a file from the next: each is a file of its own, renamed into place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileStamp {
+    inode: u64,
+    length: u64,
+    modified: SystemTime,
+}
+
 impl Handover {
-    /// Posts a notice in this folder, for this name, and looks who is there.
-    pub fn start(folder: &Path, name: &str, born: u64, log: Logger) -> io::Result<Handover> {
+    /// Posts a notice in this folder, for this name, and looks who is there. It comes after all that are there, whatever the
+    /// wall clock said when they started and says now; `now` is its part of that order where it is alone.
+    pub fn start(folder: &Path, name: &str, now: u64, log: Logger) -> io::Result<Handover> {
         // The name becomes part of a path.
         let name = format!("quartzhall-{:016x}", crate::settings::hash(name));
+        let youngest = born_of_living(folder, &name)?;
+        let born = youngest.map_or(now, |youngest| now.max(youngest.saturating_add(1)));
         let unique = format!("{name}-{born:020}-{}", std::process::id());
-        let (hidden, path) = (folder.join(format!("{unique}.new")), folder.join(format!("{unique}.notice")));
+        let (hidden, path) =
+            (folder.join(format!("{unique}{NEW_NOTICE}")), folder.join(format!("{unique}{NOTICE}")));
         let file = File::options().read(true).write(true).create_new(true).open(&hidden)?;
         file.try_lock().map_err(io::Error::from)?;
         let own = Notice { born, phase: Phase::Starting, part: shares::START };
@@ -141,33 +183,54 @@
             file,
             path,
             own,
+            published: true,
             others: Vec::new(),
             looked: None,
             bans_read: None,
+            warned_at: None,
             log,
         };
-        handover.publish()?;
+        handover.write_notice()?;
         // Under its own name only now, when it is locked: nobody takes it for that of a dead process.
         fs::rename(&hidden, &handover.path)?;
         handover.look()?;
         Ok(handover)
     }
 
-    fn publish(&self) -> io::Result<()> {
+    fn write_notice(&self) -> io::Result<()> {
         self.file.write_all_at(self.own.line().as_bytes(), 0)
     }
 
+    /// Writes the notice where it does not say what holds; what could not be written is written the next time.
+    fn publish(&mut self, own: Notice) {
+        if own == self.own && self.published {
+            return;
+        }
+        self.own = own;
+        let written = self.write_notice();
+        self.published = written.is_ok();
+        self.notes("notice", written);
+    }
+
     /// Reads the others' notices and removes those of dead processes.
     fn look(&mut self) -> io::Result<()> {
-        self.looked = fs::metadata(&self.folder)?.modified().ok();
-        self.others.clear();
+        let looked = fs::metadata(&self.folder)?.modified()?;
+        let (mut others, mut unfinished, mut living) = (Vec::new(), Vec::new(), vec![std::process::id()]);
         for entry in fs::read_dir(&self.folder)? {
             let path = entry?.path();
             let file_name = path.file_name().and_then(|name| name.to_str()).unwrap_or("");
-            if path == self.path || !file_name.starts_with(&self.name) || !file_name.ends_with(".notice") {
+            if path == self.path || !file_name.starts_with(&self.name) {
                 continue;
             }
-            let born = file_name.get(self.name.len() + 1..).and_then(|it| it.get(..20)?.parse().ok());
+            if let Some(rest) = file_name.strip_suffix(NEW_BANS) {
+                let process = rest.rsplit('-').next().and_then(|it| it.parse::<u32>().ok());
+                unfinished.push((process, path));
+                continue;
+            }
+            if !file_name.ends_with(NOTICE) {
+                continue;
+            }
+            let (born, process) = born_and_process(&self.name, file_name);
             let Ok(mut file) = File::open(&path) else { continue };
             match file.try_lock_shared() {
                 Ok(()) => {
@@ -181,18 +244,28 @@
                     let _ = file.read_to_string(&mut line);
                     // One that can't be read may be using all that an older process may.
                     let unread = Notice { born: born.unwrap_or(0), phase: Phase::Serving, part: 15 };
-                    self.others.push(Notice::parse(&line).unwrap_or(unread));
+                    others.push(Notice::parse(&line).unwrap_or(unread));
+                    living.extend(process);
                 }
                 Err(TryLockError::Error(error)) => return Err(error),
             }
         }
+        // What a process was writing when it was killed is of no use to anybody.
+        let is_dead = |process: &Option<u32>| process.is_none_or(|process| !living.contains(&process));
+        for (_, path) in unfinished.iter().filter(|(process, _)| is_dead(process)) {
+            let _ = fs::remove_file(path);
+        }
+        // Only a look that went to its end counts: half of one could miss a living process.
+        (self.others, self.looked) = (others, Some((looked, Instant::now())));
         Ok(())
     }
 
     /// Whether anything can have changed since the last look: while alone, only a new file.
     fn is_new(&self) -> bool {
         let modified = fs::metadata(&self.folder).and_then(|it| it.modified()).ok();
-        !self.others.is_empty() || modified.is_none() || modified != self.looked
+        let is_as_it_was =
+            |(at, looked): (SystemTime, Instant)| modified == Some(at) && looked.elapsed() < LOOK_AT_LEAST;
+        !self.others.is_empty() || !self.looked.is_some_and(is_as_it_was)
     }
 
     /// What this process sees now.
@@ -213,7 +286,15 @@
 
     /// Listens there for a predecessor's streams.
     pub fn listen(&self) -> io::Result<UnixListener> {
-        UnixListener::bind(self.doors()(self.own.born))
+        let path = self.doors()(self.own.born);
+        match UnixListener::bind(&path) {
+            // No living process has this one's place in the order: a dead one has left it.
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                fs::remove_file(&path)?;
+                UnixListener::bind(&path)
+            }
+            bound => bound,
+        }
     }
 
     fn bans_path(&self) -> PathBuf {
@@ -224,12 +305,20 @@
     pub fn new_bans(&mut self) -> Option<Marks> {
         let path = self.bans_path();
         let metadata = fs::metadata(&path).ok()?;
-        let stamp = (metadata.modified().ok()?, metadata.len());
+        let stamp =
+            FileStamp { inode: metadata.ino(), length: metadata.len(), modified: metadata.modified().ok()? };
         if self.bans_read == Some(stamp) {
             return None;
         }
         let read = match metadata.len() {
-            0..=LONGEST => fs::read_to_string(&path).map_err(|error| error.to_string()),
+            0..=LONGEST => match fs::read(&path) {
+                Ok(bytes) => String::from_utf8(bytes).map_err(|error| error.to_string()),
+                // It was not read, and is read the next time.
+                Err(error) => {
+                    self.notes("bans read", Err(error));
+                    return None;
+                }
+            },
             _ => Err("too long".to_owned()),
         };
         self.bans_read = Some(stamp);
@@ -244,18 +333,23 @@
 
     /// Writes the file of bans beside and renames it: nobody reads half of it.
     fn write_bans(&self, marks: &Marks) -> io::Result<()> {
-        let hidden = self.folder.join(format!("{}-{}.bans-new", self.name, std::process::id()));
-        File::create(&hidden)?.write_all(marks_text(marks).as_bytes())?;
+        let hidden = self.folder.join(format!("{}-{}{NEW_BANS}", self.name, std::process::id()));
+        let mut file = File::create(&hidden)?;
+        file.write_all(marks_text(marks).as_bytes())?;
+        file.sync_all()?;
         fs::rename(&hidden, self.bans_path())
     }
 
-    fn notes(&self, what: &str, done: io::Result<()>) {
+    fn notes(&mut self, what: &str, done: io::Result<()>) {
         // A file that vanishes while it is read is as if it had been read a moment later.
         if let Err(error) = done.or_else(|error| match error.kind() {
             ErrorKind::NotFound => Ok(()),
             _ => Err(error),
         }) {
-            warn!(self.log, "the upgrade's files fail"; "at" => what, "error" => %error);
+            if self.warned_at.is_none_or(|at| at.elapsed() >= WARN_EACH) {
+                self.warned_at = Some(Instant::now());
+                warn!(self.log, "the upgrade's files fail, tried again"; "at" => what, "error" => %error);
+            }
         }
     }
 }
@@ -293,9 +387,8 @@
         let own = Notice { phase: said, part: wanted.max(used.min(handover.own.part)), ..handover.own };
         if own != handover.own {
             info!(log, "share of the limits"; "part" => own.part, "phase" => ?own.phase, "others" => handover.others.len());
-            handover.own = own;
-            handover.notes("notice", handover.publish());
         }
+        handover.publish(own);
         let now = handover.view();
         if view.send_if_modified(|old| std::mem::replace(old, now) != now) {
             door.tell_first(Event::Share { part: wanted, processes: now.processes }).await;
@@ -307,8 +400,11 @@
         }
         let own_marks = own_bans.borrow_and_update().clone();
         if let Some(marks) = merged(&own_marks, &in_file) {
-            handover.notes("bans", handover.write_bans(&marks));
-            in_file = marks;
+            // What could not be written is still owed to a successor, and is written the next time.
+            match handover.write_bans(&marks) {
+                Ok(()) => in_file = marks,
+                Err(error) => handover.notes("bans", Err(error)),
+            }
         }
         let pause = if handover.others.is_empty() { ALONE } else { BESIDE };
         tokio::select! {
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -19,11 +19,28 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// All places for connections are taken.
 pub const CROWDED: io::ErrorKind = io::ErrorKind::ResourceBusy;
 
+/// A connection that took longer than this to come up has taken time that its request had told it has left.
+const LATE: Duration = Duration::from_millis(50);
+/// So many connections that came up late may wait for the request that is to go on them, at each address.
+const MOST_PARKED: usize = 8;
+
+/// The connection came up late and is parked: it is there at once for a request that tells the time that is left now.
+#[derive(Debug)]
+pub struct CameLate;
+
+impl std::fmt::Display for CameLate {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("the connection came up late")
+    }
+}
+
+impl std::error::Error for CameLate {}
+
 /// What a connection has carried, which tells how it broke.
 #[derive(Default)]
 pub struct Carried {
@@ -193,6 +210,9 @@
     }
 }
 
+/// Connections that came up late, and since when each is up.
+type Parked = HashMap<SocketAddr, Vec<(Wire, Instant)>>;
+
 /// Opens connections. Cheap to clone; clones share the places and the bars.
 #[derive(Clone)]
 pub struct Dialer {
@@ -200,6 +220,7 @@
     places: Places,
     barred: Arc<Mutex<HashSet<Arc<str>>>>,
     wires: Arc<Mutex<HashMap<SocketAddr, Vec<Weak<Carried>>>>>,
+    parked: Arc<Mutex<Parked>>,
     changed: watch::Sender<()>,
 }
 
@@ -211,6 +232,7 @@
             places,
             barred: Arc::default(),
             wires: Arc::default(),
+            parked: Arc::default(),
             changed: watch::Sender::new(()),
         }
     }
@@ -250,6 +272,50 @@
         }
     }
 
+    fn parked(&self) -> MutexGuard<'_, Parked> {
+        self.parked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps a connection that came up late for the request that is sent anew at once, and for no longer.
+    fn park(&self, target: SocketAddr, wire: Wire) {
+        let mut parked = self.parked();
+        parked.retain(|_, there| {
+            there.retain(|(_, since)| since.elapsed() < self.limit);
+            !there.is_empty()
+        });
+        let there = parked.entry(target).or_default();
+        if there.len() < MOST_PARKED {
+            there.push((wire, Instant::now()));
+        }
+    }
+
+    /// A connection that came up late a moment ago.
+    fn take_parked(&self, target: SocketAddr) -> Option<Wire> {
+        let mut parked = self.parked();
+        let there = parked.get_mut(&target)?;
+        let taken = there.pop().filter(|(_, since)| since.elapsed() < self.limit);
+        if there.is_empty() {
+            parked.remove(&target);
+        }
+        taken.map(|(wire, _)| wire)
+    }
+
+    /// Opens a connection for a request that tells the server how long it may take: an error of [`CameLate`] where the
+    /// connection came up, but so late that what the request tells holds no more. A second call finds it.
+    pub async fn dial_in_time(&self, address: &str) -> io::Result<Wire> {
+        let target: SocketAddr = address.parse().map_err(io::Error::other)?;
+        if let Some(wire) = self.take_parked(target) {
+            return Ok(wire);
+        }
+        let began = Instant::now();
+        let wire = self.dial(address).await?;
+        if began.elapsed() <= LATE {
+            return Ok(wire);
+        }
+        self.park(target, wire);
+        Err(io::Error::other(CameLate))
+    }
+
     /// How long a connection may take to come up.
     pub fn limit(&self) -> Duration {
         self.limit
@@ -336,7 +402,7 @@
         let dialer = self.clone();
         Box::pin(async move {
             let address = uri.authority().map_or("", |authority| authority.as_str());
-            Ok(HttpWire(TokioIo::new(dialer.dial(address).await?)))
+            Ok(HttpWire(TokioIo::new(dialer.dial_in_time(address).await?)))
         })
     }
 }
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -4,7 +4,7 @@
 //! last byte was never written to a connection.
 
 use super::attempt::{parse_load, End, Passing, Trial};
-use super::connections::{Carried, Dialer, CROWDED};
+use super::connections::{CameLate, Carried, Dialer, CROWDED};
 use crate::api::Load;
 use crate::dispatch::EndReason;
 use bytes::Bytes;
@@ -197,6 +197,9 @@
     tail: Vec<u8>,
 }
 
+/// The head of an answer, and what its connection has carried.
+type Exchanged = (Response<Incoming>, Option<Arc<Carried>>);
+
 /// An exchange that has failed.
 struct Failure {
     error: hyper_util::client::legacy::Error,
@@ -254,7 +257,7 @@
     /// One request and the head of its answer; `alone`: on a connection of its own.
     async fn exchange(
         &self, mut request: Request<Once>, alone: bool, open: &mut OpenExchange,
-    ) -> Result<(Response<Incoming>, Option<Arc<Carried>>), Failure> {
+    ) -> Result<Exchanged, Failure> {
         let client = {
             let pool = self.pool();
             let single = alone || Instant::now() < pool.distrusted_until;
@@ -288,21 +291,42 @@
             .map(|(response, _)| response)
     }
 
-    /// Runs an attempt to its end.
-    pub async fn attempt(&self, trial: Trial, passing: Passing) -> End {
-        let until = Instant::now() + trial.timeout;
-        let taken = Arc::new(AtomicBool::new(false));
-        // The body goes with its last byte: a long stream keeps none of it.
-        let body = Once { body: Some(trial.work.body), taken: taken.clone() };
-        let uri = format!("http://{}{}", trial.address, trial.work.target);
+    /// The request of an attempt, which tells the server the time that is left now.
+    fn request(trial: &Trial, until: Instant, taken: &Arc<AtomicBool>) -> Option<Request<Once>> {
+        let body = Once { body: Some(trial.work.body.clone()), taken: taken.clone() };
+        let left = until.saturating_duration_since(Instant::now());
         let request = Request::builder()
             .method(Method::POST)
-            .uri(uri)
+            .uri(format!("http://{}{}", trial.address, trial.work.target))
             .header("x-trace-id", &*trial.work.name)
-            .header("x-expires-in-ms", trial.timeout.as_millis().to_string())
+            .header("x-expires-in-ms", left.as_millis().to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(body);
-        let Ok(request) = request else { return EndReason::NotSent.into() };
+        request.ok()
+    }
+
+    /// Sends the request of an attempt; once more, where its connection came up late, for nothing was written then.
+    async fn send(
+        &self, trial: &Trial, until: Instant, taken: &Arc<AtomicBool>, open: &mut OpenExchange,
+    ) -> Option<Result<Exchanged, Failure>> {
+        let sent = self.exchange(Self::request(trial, until, taken)?, trial.alone, open).await;
+        let is_late = |error: &(dyn Error + 'static)| {
+            let inner = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
+            inner.is_some_and(|inner| inner.is::<CameLate>())
+        };
+        let came_late = |failure: &Failure| any_cause(&failure.error, is_late);
+        match sent {
+            Err(failure) if came_late(&failure) => {
+                Some(self.exchange(Self::request(trial, until, taken)?, trial.alone, open).await)
+            }
+            sent => Some(sent),
+        }
+    }
+
+    /// Runs an attempt to its end.
+    pub async fn attempt(&self, mut trial: Trial, passing: Passing) -> End {
+        let until = Instant::now() + trial.timeout;
+        let taken = Arc::new(AtomicBool::new(false));
         let mut open = OpenExchange::default();
         let exchange = tokio::select! {
             biased;
@@ -311,7 +335,13 @@
             () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
                 return EndReason::Barred.into();
             }
-            exchange = timeout_at(until, self.exchange(request, trial.alone, &mut open)) => exchange,
+            exchange = timeout_at(until, self.send(&trial, until, &taken, &mut open)) => exchange,
+        };
+        trial.work.body = Bytes::new(); // a long stream keeps none of it
+        let exchange = match exchange {
+            Ok(Some(exchange)) => Ok(exchange),
+            Ok(None) => return EndReason::NotSent.into(),
+            Err(elapsed) => Err(elapsed),
         };
         let (response, carried) = match exchange {
             Ok(Ok(exchanged)) => exchanged,
--- a/src/nodes/sessions.rs
+++ b/src/nodes/sessions.rs
@@ -172,7 +172,7 @@
             r#"{{"type":"request","id":{},"target":{},"expires_in_ms":{},"body":{}}}"#,
             json::to_string(&*trial.work.name),
             json::to_string(&*trial.work.target),
-            trial.timeout.as_millis(),
+            until.saturating_duration_since(Instant::now()).as_millis(),
             json::to_string(body),
         );
         // A message whose last byte was not written is no request.
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -317,7 +317,7 @@
 }
 
 /// Accepts a connection and reads a whole request from it, on a thread of its own: the paused clock stands meanwhile.
-async fn hear_paused(listener: std::net::TcpListener) -> std::net::TcpStream {
+async fn hear_paused(listener: std::net::TcpListener) -> (std::net::TcpStream, String) {
     let hears = move || {
         let mut stream = listener.accept().unwrap().0;
         let mut text = Vec::new();
@@ -327,7 +327,7 @@
             text.extend_from_slice(&some[..read]);
         }
         stream.set_nonblocking(true).unwrap();
-        stream
+        (stream, String::from_utf8(text).unwrap())
     };
     tokio::task::spawn_blocking(hears).await.unwrap()
 }
@@ -350,7 +350,7 @@
         let mut with_attempt = std::pin::pin!(sleep_until(began + limit));
         assert!(with_attempt.as_mut().now_or_never().is_none());
         commands.send(send).await.unwrap();
-        let mut server = hear_paused(listener).await;
+        let mut server = hear_paused(listener).await.0;
         let expected = match cancels {
             true => {
                 commands.send(Command::Cancel { id: 2, attempt: 0 }).await.unwrap();
@@ -366,3 +366,27 @@
         assert!(matches!(end, Ok(0)), "cancels {cancels}: {end:?}");
     }
 }
+
+/// A connection takes its time, or is waited for: what the server is told is what is left by then.
+#[tokio::test(start_paused = true)]
+async fn the_time_that_a_server_is_told_is_what_is_left_when_its_connection_is_up() {
+    let (commands, inbox) = node_side(&[]);
+    // All places are taken by attempts at a server that says nothing.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for id in 0..10 {
+        commands.send(send(id, &silent.local_addr().unwrap().to_string())).await.unwrap();
+    }
+    let accepts = move || (0..10).map(|_| silent.accept().unwrap()).collect::<Vec<_>>();
+    let _connections = tokio::task::spawn_blocking(accepts).await.unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    commands.send(send(20, &listener.local_addr().unwrap().to_string())).await.unwrap();
+    tokio::task::yield_now().await;
+    tokio::time::advance(Duration::from_millis(200)).await;
+    commands.send(Command::Cancel { id: 0, attempt: 0 }).await.unwrap();
+    let (_server, head) = hear_paused(listener).await;
+    let told =
+        head.lines().find_map(|line| line.strip_prefix("x-expires-in-ms: ")).expect("the time that is left");
+    let told: u64 = told.parse().unwrap();
+    assert!((4_700..=4_800).contains(&told), "{told} ms of 5 s, 0.2 s later");
+    drop(inbox);
+}
--- a/tests/unit/handover.rs
+++ b/tests/unit/handover.rs
@@ -89,3 +89,69 @@
     let newer = Marks::from([(Arc::from("a"), Mark { at: 9, banned: false })]);
     assert_eq!(merged(&both, &newer).unwrap()["a"], Mark { at: 9, banned: false });
 }
+
+/// The wall clock is set back by an hour between two starts: who comes later is the successor all the same.
+#[test]
+fn a_process_that_starts_after_the_clock_was_set_back_is_the_successor() {
+    let folder = folder("back");
+    let hour = 3_600_000_000;
+    let mut old = post(&folder, 10 * hour);
+    let new = post(&folder, 9 * hour);
+    old.look().unwrap();
+    assert!(new.view().predecessor && new.view().successor.is_none());
+    assert!(!old.view().predecessor);
+    assert_eq!(old.view().successor, Some(new.own.born));
+}
+
+/// The file can't be written for a while: what operators were promised is written as soon as it can be.
+#[tokio::test(start_paused = true)]
+async fn a_ban_that_could_not_be_written_is_written_later() {
+    let folder = folder("fails");
+    let handover = post(&folder, 1);
+    let path = handover.bans_path();
+    // A folder with something in it can't be replaced by a file.
+    fs::create_dir_all(path.join("full")).unwrap();
+    let profile: Profile = json::from_str("{}").unwrap();
+    let (door, inbox) = crate::dispatch::door(Arc::new(Site::new(&profile).unwrap()));
+    let (_phase, phase) = watch::channel(Phase::Serving);
+    let (view, _seen) = watch::channel(View::default());
+    tokio::spawn(run(handover, Free, door, phase, view));
+    inbox.marks.send_replace(marks(5));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(path.is_dir());
+    fs::remove_dir_all(&path).unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(parse_marks(&fs::read_to_string(&path).unwrap()), Ok(marks(5)));
+}
+
+/// What can't be read was not read: it is read when it can be.
+#[test]
+fn bans_that_could_not_be_read_are_read_later() {
+    let folder = folder("unread");
+    let (old, mut new) = (post(&folder, 1), post(&folder, 2));
+    fs::create_dir_all(new.bans_path()).unwrap();
+    assert_eq!(new.new_bans(), None);
+    fs::remove_dir(new.bans_path()).unwrap();
+    old.write_bans(&marks(5)).unwrap();
+    assert_eq!(new.new_bans(), Some(marks(5)));
+}
+
+#[test]
+fn what_a_killed_process_left_half_done_goes() {
+    let folder = folder("half");
+    let mut handover = post(&folder, 1);
+    let left = folder.0.join(format!("{}-1{NEW_BANS}", handover.name));
+    let own = folder.0.join(format!("{}-{}{NEW_BANS}", handover.name, std::process::id()));
+    fs::write(&left, "{\"version\":1,\"ma").unwrap();
+    fs::write(&own, "").unwrap();
+    handover.look().unwrap();
+    assert!(!left.exists() && own.exists());
+}
+
+#[tokio::test]
+async fn a_socket_that_a_dead_process_left_is_replaced() {
+    let folder = folder("socket");
+    let handover = post(&folder, 1);
+    drop(UnixListener::bind(handover.doors()(handover.own.born)).unwrap());
+    assert!(handover.listen().is_ok());
+}
