One guard for sends, refusals and streams, with violations counted by rule

Change: dispatch/guard is the one place that each send (first, retry, hedged), refusal and start of a stream passes; it is told the request's typed state, what each attempt's server was when it was sent there, and names the rule that forbids a step. What it forbids is not done (a refusal becomes a failure), counted by rule, logged with the request's id, and summed up.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -1,5 +1,6 @@
 //! The state machine: it joins the module, the request table and the nodes' table, and keeps the rules.
 
+use super::guard::Guard;
 use super::messages::{Answer, Command, Event, Member, Piece, Readiness, Work};
 use super::nodes::{News, Nodes};
 use super::reasons::{CloseReason, EndReason, ReleaseReason};
@@ -7,7 +8,9 @@
 use super::request::{Attempt, Ended, Request};
 use super::rules::Rule;
 use super::table::Table;
-use crate::api::{self, Action, Ask, Effect, Load, RequestId, Role, ServerId, Settings, State, Status, Time};
+use crate::api::{
+    self, Action, Ask, Effect, GiveUp, Load, RequestId, Role, ServerId, Settings, Status, Time,
+};
 use crate::bans::Marks;
 use crate::gossip::Gossip;
 use crate::notes::Notes;
@@ -45,6 +48,7 @@
 pub struct Core {
     router: Router,
     site: Arc<Site>,
+    rules: Settings, // as the module is told them
     site_changed: bool,
     retired: Vec<Time>, // when each class was last open
     part: u32,
@@ -68,8 +72,10 @@
     /// A core as it starts. `now` is Unix time in microseconds, as are all its times.
     /// `most_places`: so many requests can be open at once.
     pub fn new(site: Arc<Site>, most_places: usize, seed: u64, now: Time, log: Logger) -> Self {
+        let rules = in_time(site.settings.clone(), site.bounds.dial);
         let mut core = Core {
-            router: Router::new(in_time(site.settings.clone(), site.bounds.dial), seed, now),
+            router: Router::new(rules.clone(), seed, now),
+            rules,
             most_held: site.bounds.most_held.min(most_places),
             retired: vec![now; site.settings.classes.len()],
             site,
@@ -285,6 +291,7 @@
         self.most_held = ((whole * u128::from(self.part) / u128::from(PARTS)) as usize).max(1);
         let mut settings = in_time(self.site.settings.clone(), self.site.bounds.dial);
         settings.balancers = settings.balancers.saturating_mul(self.processes.max(1));
+        self.rules = settings.clone();
         self.step(now, api::Event::Settings(settings));
     }
 
@@ -353,9 +360,10 @@
     }
 
     fn first(&mut self, now: Time, id: RequestId, attempt: u32, stream: mpsc::Receiver<Piece>) {
+        let guard = Guard { settings: &self.rules, target: |server| self.nodes.target(server), now };
         let Some(held) = self.requests.get_mut(id) else { return };
         // Dropping the stream of an attempt that came too late ends it at its node.
-        if !held.is_waiting() || !held.is_out(attempt) {
+        if guard.check_stream(held, attempt).is_err() {
             return;
         }
         let Some(answer) = held.answer.take() else { return };
@@ -468,8 +476,7 @@
                     }
                 }
                 Action::Refuse { id, retry_after, why } => {
-                    let answer = Answer::Refused(Duration::from_micros(retry_after));
-                    self.close(now, id, CloseReason::Refused(why), answer);
+                    self.refuse(now, id, why, Duration::from_micros(retry_after));
                     self.settle(now, id);
                 }
                 Action::Fail { id, why } => {
@@ -496,18 +503,22 @@
         }
     }
 
+    /// The one place for attempts.
     fn send(&mut self, now: Time, id: RequestId, server: ServerId, timeout: Time) {
+        let guard = Guard { settings: &self.rules, target: |server| self.nodes.target(server), now };
         let Some(held) = self.requests.get_mut(id) else { return };
+        let checked = guard.check_send(held, server);
         let attempt = held.attempts.len() as u32;
-        let node = self.nodes.get(server).filter(|node| node.state == State::Ready);
-        let live = held.is_waiting() && now < held.deadline;
         let before = held.attempts.last().map(|it| it.ended);
-        held.attempts.push(Attempt { server, sent: now, ended: None });
-        let Some(node) = node.filter(|_| live) else {
+        let target = checked.as_ref().ok().copied();
+        held.attempts.push(Attempt { server, target, sent: now, ended: None });
+        let (target, node) = match (checked, self.nodes.get(server)) {
+            (Ok(target), Some(node)) => (target, node),
             // What the rules forbid is not sent, whoever asks for it.
-            let rule = if live { Rule::Drain } else { Rule::RequestOver };
-            self.violation(now, rule, id);
-            return self.ended(now, id, attempt, EndReason::NotSent, 0.0, None);
+            (checked, _) => {
+                self.violation(now, checked.err().unwrap_or(Rule::Drain), id);
+                return self.ended(now, id, attempt, EndReason::NotSent, 0.0, None);
+            }
         };
         let timeout = if timeout == 0 { Time::MAX } else { timeout }.min(held.deadline - now);
         debug!(self.log, "send"; "id" => id, "attempt" => attempt, "server" => server);
@@ -526,10 +537,23 @@
             address: node.address.clone(),
             work: held.work.clone(),
             timeout: Duration::from_micros(timeout),
-            alone: held.once && node.role != Role::Reader, // reading has no effect
+            alone: held.once && target.role != Role::Reader, // reading has no effect
         });
     }
 
+    /// Refuses a request, or fails it where a refusal would not be true.
+    fn refuse(&mut self, now: Time, id: RequestId, why: GiveUp, retry_after: Duration) {
+        let guard = Guard { settings: &self.rules, target: |server| self.nodes.target(server), now };
+        let Some(request) = self.requests.get(id) else { return };
+        match guard.check_refusal(request) {
+            Ok(()) => self.close(now, id, CloseReason::Refused(why), Answer::Refused(retry_after)),
+            Err(rule) => {
+                self.violation(now, rule, id);
+                self.close(now, id, CloseReason::Failed(why), Answer::Failed);
+            }
+        }
+    }
+
     /// The one place for final answers but streams.
     fn close(&mut self, now: Time, id: RequestId, reason: CloseReason, answer: Answer) {
         let Some(held) = self.requests.get_mut(id).filter(|held| held.is_waiting()) else { return };
--- /dev/null
+++ b/src/dispatch/guard.rs
@@ -0,0 +1,85 @@
+//! The one place that every send, refusal and start of a stream passes. It is told what is known of the request and of the
+//! server, and says which rule forbids the step, whatever the decision module wants. Pure: no I/O, no clock.
+
+use super::request::{Attempt, Request};
+use super::rules::Rule;
+use crate::api::{Effect, Group, Role, ServerId, Settings, State, Time};
+
+/// What the rules ask of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Target {
+    pub role: Role,
+    pub zone: u32,
+    pub cell: u32,
+    pub state: State,
+}
+
+/// What steps are checked against: the settings that hold, and the servers by number.
+pub(super) struct Guard<'a, F: Fn(ServerId) -> Option<Target>> {
+    pub settings: &'a Settings,
+    pub target: F,
+    pub now: Time,
+}
+
+impl<F: Fn(ServerId) -> Option<Target>> Guard<'_, F> {
+    /// Whether one more attempt may go to a server; a retry and a hedged request are such as any other.
+    pub fn check_send(&self, request: &Request, server: ServerId) -> Result<Target, Rule> {
+        if !request.is_waiting() || self.now >= request.deadline {
+            return Err(Rule::RequestOver);
+        }
+        let target = (self.target)(server).filter(|it| it.state == State::Ready).ok_or(Rule::Drain)?;
+        let is_hedge = request.has_attempt_out();
+        if request.attempts.len() as u32 >= self.settings.max_attempts.max(1)
+            || is_hedge && !self.settings.second_copies
+        {
+            return Err(Rule::Attempts);
+        }
+        match request.attempts.iter().all(|attempt| self.may_repeat(request, attempt, Some(&target))) {
+            true => Ok(target),
+            false => Err(Rule::Duplicate),
+        }
+    }
+
+    /// Whether it may be said that trying again is harmless.
+    pub fn check_refusal(&self, request: &Request) -> Result<(), Rule> {
+        match request.attempts.iter().all(|attempt| self.may_repeat(request, attempt, None)) {
+            true => Ok(()),
+            false => Err(Rule::Duplicate),
+        }
+    }
+
+    /// Whether an attempt's stream may go to the client.
+    pub fn check_stream(&self, request: &Request, attempt: u32) -> Result<(), Rule> {
+        match request.is_waiting() && request.is_out(attempt) {
+            true => Ok(()),
+            false => Err(Rule::RequestOver),
+        }
+    }
+
+    /// Whether the request may run once more, at a server or wherever its client sends it, for all that this attempt did.
+    fn may_repeat(&self, request: &Request, attempt: &Attempt, at: Option<&Target>) -> bool {
+        let was = attempt.target;
+        let reads = was.is_some_and(|was| was.role == Role::Reader);
+        // However an attempt at a reader ends, it has had no effect; while it is out, nothing is known.
+        let is_harmless = attempt.ended.is_some_and(|reason| reads || reason.never_ran());
+        let effect = self.settings.classes.get(request.class).map_or(Effect::Unsafe, |class| class.effect);
+        let is_within = |window: Time| self.now < attempt.sent.saturating_add(window);
+        is_harmless
+            || match effect {
+                Effect::Safe => true,
+                Effect::Unsafe => false,
+                Effect::Keyed { group: Group::All, window } => is_within(window),
+                Effect::Keyed { group, window } => {
+                    let same = |was: Target, here: &Target| match group {
+                        Group::Zone => was.zone == here.zone,
+                        _ => was.cell == here.cell,
+                    };
+                    is_within(window) && was.zip(at).is_some_and(|(was, here)| same(was, here))
+                }
+            }
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/dispatch_guard.rs"]
+mod tests;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod core;
 mod door;
+mod guard;
 mod lease;
 mod messages;
 mod nodes;
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -1,6 +1,7 @@
 //! The nodes' table: what the list says of each, what operators say, and what holds. It does no I/O: what follows
 //! for connections is returned as commands.
 
+use super::guard::Target;
 use super::messages::{Command, Member};
 use crate::api::{Entry, Role, ServerId, State, Time};
 use crate::bans::{Bans, Marks, Refusal};
@@ -77,6 +78,12 @@
         named.first().copied()
     }
 
+    /// What the rules ask of a server; `None` where it is not known.
+    pub fn target(&self, server: ServerId) -> Option<Target> {
+        let node = self.nodes.get(&server)?;
+        Some(Target { role: node.role, zone: node.listed.zone, cell: node.listed.cell, state: node.state })
+    }
+
     /// A server has answered something: it runs.
     pub fn heard_from(&mut self, now: Time, server: ServerId) {
         if !self.nodes.contains_key(&server) {
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -1,5 +1,6 @@
 //! One request in the table: its phase, its attempts, and what servers may hold for it.
 
+use super::guard::Target;
 use super::lease::Lease;
 use super::messages::{Answer, Work};
 use super::reasons::EndReason;
@@ -10,6 +11,8 @@
 /// One attempt for a request.
 pub(super) struct Attempt {
     pub server: ServerId,
+    /// What the server was when it was sent there; `None` where the rules forbade the send.
+    pub target: Option<Target>,
     pub sent: Time,
     /// Why it ended; it is out until then.
     pub ended: Option<EndReason>,
