--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -173,7 +173,7 @@
                     self.violation(now, Rule::HeldState, id);
                 }
                 if let Some(held) = self.requests.get_mut(id) {
-                    held.lease.release_ended();
+                    held.lease.release_ended(now);
                 }
                 self.settle(now, id);
             }
@@ -578,7 +578,9 @@
         let Some(held) = self.requests.get(id) else { return };
         if held.is_waiting() && now >= held.deadline {
             // The module ends requests in time by itself; this guards the client against a mistake there.
-            self.violation(now, Rule::FinalAnswer, id);
+            if now >= held.deadline.saturating_add(self.site.settings.answer_slack) {
+                self.violation(now, Rule::FinalAnswer, id);
+            }
             self.close(now, id, CloseReason::DeadlinePassed, Answer::Failed);
             self.step(now, api::Event::Gone { id });
         }
--- a/src/dispatch/lease.rs
+++ b/src/dispatch/lease.rs
@@ -13,6 +13,10 @@
 /// ... and what the decision module looks for a writer for, or an attempt is out for, after this part.
 const CLAIMED_TENTHS: Time = 9;
 
+/// A server sees the close of an attempt that was given up within this. A release that another one has read before has let
+/// go of nothing, for that attempt still waited.
+const CLOSE_ARRIVES: Time = 100_000;
+
 /// What servers hold for a request.
 #[derive(Debug, Default)]
 pub(super) struct Lease {
@@ -24,12 +28,21 @@
     released_under_attempt: bool,
     /// A release is under way.
     releasing: bool,
+    /// An attempt was given up at this moment, by closing its connection.
+    given_up_at: Option<Time>,
+    /// The release that is under way may have come before the close of an attempt that was given up.
+    repeats: bool,
+    /// The next release does not start before this.
+    not_before: Time,
 }
 
 impl Lease {
     /// An attempt at a server of this role has ended.
     pub fn attempt_ended(&mut self, now: Time, role: Option<Role>, reason: EndReason) {
         let may_keep = std::mem::take(&mut self.released_under_attempt) && role != Some(Role::Reader);
+        if reason.is_given_up() {
+            self.given_up_at = Some(now);
+        }
         if reason.is_answer() {
             // A running server had the attempt up to now: what is held has its whole time again.
             self.known = self.known.map(|_| now);
@@ -85,7 +98,8 @@
     pub fn start_release(
         &mut self, now: Time, release_within: Time, is_needed: bool, attempt_out: bool,
     ) -> Option<ReleaseReason> {
-        let due_at = self.due_at(release_within, attempt_out).filter(|_| !self.releasing)?;
+        let is_free = !self.releasing && now >= self.not_before;
+        let due_at = self.due_at(release_within, attempt_out).filter(|_| is_free)?;
         let reason = match (is_needed || attempt_out, attempt_out) {
             (false, _) => ReleaseReason::NotNeeded,
             (true, _) if now < due_at => return None,
@@ -94,12 +108,18 @@
         };
         (self.known, self.possible) = (None, None);
         (self.releasing, self.released_under_attempt) = (true, attempt_out);
+        let is_fresh = |at: Time| now < at.saturating_add(CLOSE_ARRIVES);
+        self.repeats = self.given_up_at.take().is_some_and(is_fresh);
         Some(reason)
     }
 
-    /// The release that was under way is over.
-    pub fn release_ended(&mut self) {
+    /// The release that was under way is over. It is repeated where it may have come too early.
+    pub fn release_ended(&mut self, now: Time) {
         self.releasing = false;
+        if std::mem::take(&mut self.repeats) {
+            self.may_hold(now);
+            self.not_before = now.saturating_add(CLOSE_ARRIVES);
+        }
     }
 }
 
--- a/src/dispatch/reasons.rs
+++ b/src/dispatch/reasons.rs
@@ -97,6 +97,11 @@
         )
     }
 
+    /// Whether the attempt was ended here, by closing its connection, while a server may have had it.
+    pub fn is_given_up(self) -> bool {
+        matches!(self, EndReason::Silent | EndReason::Cancelled | EndReason::ClientLeft)
+    }
+
     /// Whether it is certain that no server had the whole request.
     pub fn never_arrived(self) -> bool {
         matches!(self.status(), Status::ConnectFailed | Status::Moot)
