System calls that fail, stepped clocks, clients gone behind much unread: mended, with tests

After any error accept slept 5 to 200 ms, also where one connection had broken while others waited. Connect errors of this machine itself (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EMFILE, ENFILE) were told as a dead server; a failed set_nodelay gave the connection up. The end of a ban said by a process whose clock is an hour behind counted as stale, and ends were remembered by the other's clock. A server's age was reckoned from its Unix time alone. The end of a client was not seen behind 16 KB that were not read.

Change: system_errors tells errors of one connection from shortages of this machine; shortages at connect are tried again within the dial time and then tell nothing of the server. Bans count by the last word, and ends are remembered by this process's clock. A start that is heard of is at most 6 s old, and none is to come. While 16 KB wait behind an open request the socket is asked for its hang-up every 40 ms.

The test of the client fails on the code before; those of accept, connect, bans and ages are new tests of new functions, not run against it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,12 @@
 # Build, test, lint and run. `make check` is what CI runs.
 CONFIG ?= /run/balancer/config.json
 
-.PHONY: build check format lint test scale run clean
+.PHONY: build check format lint test scale soak run clean
+
+# Seeds that make soak plays, from the first one on.
+SEED ?= 1
+SEEDS ?= 8
+PROCESSES ?= 12
 
 build:
 	cargo build --release --locked
@@ -13,6 +18,7 @@
 	cargo build --locked --workspace --bins
 	target/debug/quartzhall-scale run crates/scale/scenarios/ci.toml --out target/scale-ci.json
 	target/debug/quartzhall-scale table --check
+	target/debug/quartzhall-soak --program target/debug/quartzhall --seed 1 --seeds 1 --processes 4 --seconds 5 --rate 3
 
 format:
 	cargo fmt --all
@@ -27,6 +33,10 @@
 	cargo build --release --locked --workspace --bins
 	target/release/quartzhall-scale run crates/scale/scenarios/small.toml
 
+soak:
+	cargo build --release --locked --workspace --bins
+	target/release/quartzhall-soak --seed $(SEED) --seeds $(SEEDS) --processes $(PROCESSES)
+
 run: build
 	target/release/quartzhall serve --config $(CONFIG)
 
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -54,7 +54,7 @@
 /// How an attempt ended, as its server saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The prompt was read, and the state waits, whether or not its answer arrived.
+    /// The prompt was read, whether or not the answer arrived.
     Read,
     /// It was turned away, with proof that it never ran.
     NeverRan,
@@ -248,9 +248,6 @@
             trace.note(format!("s{server}: attempt over, {outcome:?}"));
             trace.out = trace.out.saturating_sub(1);
             trace.writes_out = trace.writes_out.saturating_sub(usize::from(writes));
-            if outcome == Outcome::Read {
-                (trace.held, trace.state_at) = (true, server);
-            }
             if writes && outcome == Outcome::NeverRan {
                 trace.unproven = trace.unproven.saturating_sub(1);
             }
@@ -259,6 +256,16 @@
         });
     }
 
+    /// A reader has read a prompt to its end: from now on a state waits there, also before anybody hears of it.
+    pub fn state_made(&self, id: &str, server: usize) {
+        self.with(id, |trace| {
+            (trace.held, trace.state_at) = (true, server);
+            trace.note(format!("s{server}: a state waits"));
+            trace.settle();
+            None
+        });
+    }
+
     /// A writer has taken the state; false where there is none.
     pub fn take_state(&self, id: &str, server: usize) -> bool {
         let mut taken = false;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -318,8 +318,8 @@
         let began = Instant::now();
         process.signal(Signal::STOP);
         sleep(lasts).await;
-        process.signal(Signal::CONT);
         self.oracle.process_stood_still(number, began.elapsed());
+        process.signal(Signal::CONT);
         process.stopped.store(false, Ordering::Relaxed);
     }
 
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -235,6 +235,7 @@
             return (Outcome::Other, Err(ends));
         }
         if self.role == Role::Reader {
+            self.oracle.state_made(id, self.number);
             if is(&self.conduct.loses_answers) {
                 // The read has ended well, and nobody hears of it.
                 return (Outcome::Read, Err(Ends::Reset));
--- a/src/bans.rs
+++ b/src/bans.rs
@@ -39,6 +39,7 @@
 #[derive(Default)]
 pub struct Bans {
     marks: Marks,
+    ended_at: BTreeMap<Arc<str>, Time>, // when the ends among them were heard of here, by this process's own clock
     left: VecDeque<Arc<str>>,
     left_set: HashSet<Arc<str>>,
 }
@@ -70,7 +71,7 @@
         }
         // A word is newer than the one that it replaces, also where another process's clock ran ahead.
         let at = self.marks.get(id).map_or(now, |old| now.max(old.at + 1));
-        self.marks.insert(id.clone(), Mark { at, banned });
+        self.set(now, id, Mark { at, banned });
         Ok(true)
     }
 
@@ -79,7 +80,9 @@
         self.forget_ended(now);
         let mut changed = Vec::new();
         for (id, mark) in others {
-            let stale = !mark.banned && mark.at.saturating_add(ENDED_KEPT) < now;
+            // Other processes' clocks may be off: the end of a ban that holds here is news, whenever it was said.
+            let is_old = mark.at.saturating_add(ENDED_KEPT) < now;
+            let stale = !mark.banned && is_old && !self.is_banned(id);
             // At the same moment the ban counts: it can do no harm that the rules forbid.
             if stale || self.marks.get(id).is_some_and(|own| own >= mark) {
                 continue;
@@ -87,13 +90,22 @@
             if self.is_banned(id) != mark.banned {
                 changed.push(id.clone());
             }
-            self.marks.insert(id.clone(), *mark);
+            self.set(now, id, *mark);
         }
         changed
     }
 
+    fn set(&mut self, now: Time, id: &Arc<str>, mark: Mark) {
+        match mark.banned {
+            true => drop(self.ended_at.remove(id)),
+            false => drop(self.ended_at.insert(id.clone(), now)),
+        }
+        self.marks.insert(id.clone(), mark);
+    }
+
     fn forget_ended(&mut self, now: Time) {
-        self.marks.retain(|_, mark| mark.banned || mark.at.saturating_add(ENDED_KEPT) >= now);
+        self.ended_at.retain(|_, at| at.saturating_add(ENDED_KEPT) >= now);
+        self.marks.retain(|id, mark| mark.banned || self.ended_at.contains_key(id));
     }
 
     /// Whether an id is out of use.
@@ -101,9 +113,10 @@
         self.marks.get(id).is_some_and(|mark| mark.banned)
     }
 
-    /// When an id's ban ended, where that is remembered.
+    /// When the end of an id's ban was heard of here, where that is remembered: by this process's own clock, for that of who
+    /// said it may be off.
     pub fn ended(&self, id: &str) -> Option<Time> {
-        self.marks.get(id).filter(|mark| !mark.banned).map(|mark| mark.at)
+        self.ended_at.get(id).copied()
     }
 
     /// What was said of each id.
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -431,7 +431,7 @@
     }
 
     fn members(&mut self, now: Time, complete: bool, members: Vec<Member>) {
-        let news = self.nodes.list(complete, members, &self.log);
+        let news = self.nodes.list(now, complete, members, &self.log);
         self.note_nodes(now, &news);
         for server in self.nodes.forget_gone(&self.requests.busy()) {
             self.gossip.iter_mut().for_each(|gossip| gossip.keep(|it| it != server));
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -13,6 +13,8 @@
 /// Addresses that one call is passed on to at the most: any node takes it, and all of a large fleet are not to be listed
 /// for each.
 const MOST_ADDRESSES: usize = 64;
+/// News of a start takes no longer than this, by the protocol.
+const NEWS_TAKES: Time = 6_000_000;
 /// Of these, so many are the servers that were heard of last.
 const MOST_HEARD: usize = 32;
 
@@ -21,10 +23,11 @@
     pub name: Arc<str>,
     pub address: Arc<str>,
     pub role: Role,
-    pub state: State,       // what holds: operators' word comes before the list's
-    pub listed: Entry,      // what the list says
-    back_at: Option<Time>,  // when operators let it be used again
-    past: Option<Arc<str>>, // where it was before it moved
+    pub state: State,           // what holds: operators' word comes before the list's
+    pub listed: Entry,          // what the list says
+    listed_start: Option<Time>, // when it started, as the list has it
+    back_at: Option<Time>,      // when operators let it be used again
+    past: Option<Arc<str>>,     // where it was before it moved
 }
 
 impl Node {
@@ -51,6 +54,7 @@
     next_number: ServerId,
     nodes: BTreeMap<ServerId, Node>,
     barred: HashSet<Arc<str>>, // addresses to which nothing new may go, as was last commanded
+    has_list: bool,
     bans: Bans,
     bans_changed: bool,
     heard: BTreeSet<(Time, ServerId)>, // when each server was last heard of
@@ -117,15 +121,27 @@
         true
     }
 
+    /// When a server started, by this process's clock: it is told in Unix time, and a wall clock may have been stepped, there or
+    /// here. A start of which a list tells that had another one before, or none, came at most so long before as news may take.
+    fn started_at(&self, now: Time, before: Option<&Node>, told: Option<Time>) -> Option<Time> {
+        let told = told?;
+        let same = before.filter(|node| node.listed_start == Some(told));
+        if let Some(node) = same {
+            return node.listed.started;
+        }
+        let earliest = if self.has_list { now.saturating_sub(NEWS_TAKES) } else { 0 };
+        Some(told.clamp(earliest, now))
+    }
+
     /// What the list says now: all of it, or what has changed.
-    pub fn list(&mut self, complete: bool, members: Vec<Member>, log: &Logger) -> News {
+    pub fn list(&mut self, now: Time, complete: bool, members: Vec<Member>, log: &Logger) -> News {
         let mut news = News::default();
         let mut named = HashSet::new();
         for mut member in members {
             if member.partial && !self.complement(&mut member) {
                 continue;
             }
-            let Member { name, address, mut entry, .. } = member;
+            let Member { name, address, mut entry, partial } = member;
             let server = *self.numbers.entry(name.clone()).or_insert_with(|| {
                 self.next_number += 1;
                 self.next_number - 1
@@ -141,7 +157,15 @@
                 debug!(log, "a node has moved"; "server" => server, "address" => %address);
             }
             let past = moved.or_else(|| before.as_ref().and_then(|it| it.past.clone()));
-            let node = Node { name, address: address.clone(), role, state, listed: entry, back_at, past };
+            let told = entry.started;
+            // Of one that leaves only that could be read: its start is as it was.
+            let listed_start = if partial { before.as_ref().and_then(|it| it.listed_start) } else { told };
+            if !partial {
+                entry.started = self.started_at(now, before.as_ref(), told);
+            }
+            let address_here = address.clone();
+            let node =
+                Node { name, address: address_here, role, state, listed: entry, listed_start, back_at, past };
             let entry = node.entry();
             if before.as_ref().is_none_or(|it| it.state != state || it.address != address) {
                 debug!(log, "a node's state"; "server" => server, "name" => %node.name,
@@ -152,6 +176,7 @@
             self.nodes.insert(server, node);
             news.entries.push(entry);
         }
+        self.has_list = true;
         if complete {
             for (_, node) in self.nodes.iter_mut().filter(|(server, _)| !named.contains(server)) {
                 (node.listed.state, node.state) = (State::Gone, State::Gone);
--- a/src/fronts/health.rs
+++ b/src/fronts/health.rs
@@ -2,6 +2,7 @@
 
 use super::Course;
 use crate::dispatch::{Door, Readiness};
+use crate::system_errors::AcceptPauses;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
@@ -49,6 +50,7 @@
 
 /// Answers agent checks, one line a connection, until the dispatcher ends.
 pub async fn serve_agent(listener: TcpListener, door: Door, mut stop: watch::Receiver<Course>, log: Logger) {
+    let mut pauses = AcceptPauses::default();
     loop {
         let accepted = tokio::select! {
             _ = stop.wait_for(|course| *course == Course::Ending) => return,
@@ -57,6 +59,7 @@
         match accepted {
             // One at a time: a check is one short line, and a balancer comes back.
             Ok((mut stream, _)) => {
+                pauses.succeeded();
                 let line = agent_line(door.readiness());
                 let _ = timeout(PATIENCE, async {
                     stream.write_all(line.as_bytes()).await?;
@@ -66,7 +69,7 @@
             }
             Err(error) => {
                 warn!(log, "accept failed"; "error" => %error);
-                sleep(Duration::from_millis(100)).await;
+                sleep(pauses.after(&error)).await;
             }
         }
     }
--- a/src/fronts/listener.rs
+++ b/src/fronts/listener.rs
@@ -8,6 +8,7 @@
 use crate::framing::Stated;
 use crate::moving::Mover;
 use crate::places::{Place, Places};
+use crate::system_errors::AcceptPauses;
 use axum::body::Body;
 use axum::http::{header, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -19,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::Request;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slog::{info, warn, Logger};
 use std::collections::HashMap;
 use std::future::Future;
@@ -39,6 +41,8 @@
 const LINGER_TIME: Duration = Duration::from_millis(300);
 /// ... and up to so many bytes: a close over unread bytes resets the connection, and takes the answer with it.
 const LINGER_BYTES: usize = 1 << 20;
+/// While no more is read of what comes behind an open request, the client's end is looked for this often.
+const END_LOOK: Duration = Duration::from_millis(40);
 /// A connection's read buffer: a head must fit, and so much may wait behind a request that is open.
 const BUFFER: usize = 16 * 1024;
 
@@ -85,11 +89,33 @@
     over: bool, // nothing comes behind that
     listener_state: ListenerState,
     lingers: Option<(Pin<Box<Sleep>>, usize)>, // how long, and for how many bytes
+    end_look: Option<Pin<Box<Sleep>>>, // when the client's end is looked for behind bytes that are not read
 }
 
 impl ClientSocket {
     fn new(stream: TcpStream, client: Arc<ClientConnection>, listener_state: ListenerState) -> Self {
-        ClientSocket { stream, client, behind: BytesMut::new(), over: false, listener_state, lingers: None }
+        ClientSocket {
+            stream,
+            client,
+            behind: BytesMut::new(),
+            over: false,
+            listener_state,
+            lingers: None,
+            end_look: None,
+        }
+    }
+
+    /// Looks from time to time whether the client has gone, behind bytes that are not read. Ready when it has.
+    fn poll_hung_up(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            if has_hung_up(&self.stream) {
+                self.over = true;
+                return Poll::Ready(Ok(()));
+            }
+            let look = self.end_look.get_or_insert_with(|| Box::pin(sleep(END_LOOK)));
+            ready!(look.as_mut().poll(context));
+            self.end_look = None;
+        }
     }
 
     /// Reads what comes behind an open request, until there is no more room for it. Ready at the client's end.
@@ -97,7 +123,7 @@
         while !self.over {
             let room = BUFFER.saturating_sub(self.behind.len());
             if room == 0 {
-                return Poll::Pending; // read on when the request is answered
+                return self.poll_hung_up(context); // read on when the request is answered
             }
             let mut some = [MaybeUninit::uninit(); 1024];
             let mut some = ReadBuf::uninit(&mut some[..room.min(1024)]);
@@ -109,6 +135,14 @@
     }
 }
 
+/// Whether the other side has ended its sending, or the connection has broken, whatever lies unread before that.
+fn has_hung_up(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    // An error of the call tells nothing: it is looked again.
+    poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(ended)
+}
+
 impl AsyncRead for ClientSocket {
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
@@ -334,7 +368,7 @@
         taken: HashMap::new(),
     };
     let mut connections = JoinSet::new();
-    let mut pause = Duration::from_millis(5);
+    let mut pauses = AcceptPauses::default();
     let mut leaving = course.clone();
     loop {
         while let Some(ended) = connections.try_join_next_with_id() {
@@ -352,15 +386,14 @@
         let (stream, place) = match accepted {
             (Ok((stream, _)), Some(place)) => (stream, place),
             (Err(error), _) => {
-                // Out of descriptors, or the client was too quick: trying at once would spin.
-                warn!(log, "accept failed"; "error" => %error);
+                let pause = pauses.after(&error);
+                warn!(log, "accept failed"; "error" => %error, "pause_ms" => pause.as_millis() as u64);
                 sleep(pause).await;
-                pause = (pause * 2).min(Duration::from_millis(200));
                 continue;
             }
             (_, None) => break,
         };
-        pause = Duration::from_millis(5);
+        pauses.succeeded();
         tracked.serve(&mut connections, stream, place, &routes);
     }
     if *course.borrow() == Course::Ending {
--- a/src/fronts/management.rs
+++ b/src/fronts/management.rs
@@ -3,6 +3,7 @@
 
 use crate::bans::Refusal;
 use crate::dispatch::{Door, Readiness};
+use crate::system_errors::AcceptPauses;
 use slog::{info, warn, Logger};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -124,9 +125,11 @@
 /// Answers operators for as long as the dispatcher runs.
 pub async fn serve(listener: TcpListener, door: Door, log: Logger) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    let mut pauses = AcceptPauses::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                pauses.succeeded();
                 callers.retain(|caller| !caller.is_finished());
                 if callers.len() >= MOST_CALLERS {
                     if let Some(first) = callers.pop_front() {
@@ -137,7 +140,7 @@
             }
             Err(error) => {
                 warn!(log, "accept failed"; "error" => %error);
-                sleep(Duration::from_millis(50)).await;
+                sleep(pauses.after(&error)).await;
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,6 +97,7 @@
 pub mod reload;
 pub mod settings;
 pub mod strict;
+pub mod system_errors;
 pub mod watch;
 
 pub use logic::Router;
--- a/src/moving.rs
+++ b/src/moving.rs
@@ -7,6 +7,7 @@
 use crate::framing::{Chunks, Lost};
 use crate::nodes::events::Events;
 use crate::places::Places;
+use crate::system_errors::AcceptPauses;
 use bytes::Bytes;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -237,12 +238,16 @@
 
 /// Takes in the streams of a predecessor. They take places where there are some; for want of one none is cut.
 pub async fn take_in(listener: UnixListener, clients: Places, nodes: Places, log: Logger) {
+    let mut pauses = AcceptPauses::default();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => {
+                pauses.succeeded();
+                stream
+            }
             Err(error) => {
                 warn!(log, "accept failed"; "error" => %error);
-                sleep(Duration::from_millis(50)).await;
+                sleep(pauses.after(&error)).await;
                 continue;
             }
         };
--- a/src/nodes/connections.rs
+++ b/src/nodes/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::framing::{Answer, Chunks};
 use crate::places::{Place, Places};
+use crate::system_errors::is_local_shortage;
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
@@ -19,13 +20,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// All places for connections are taken.
 pub const CROWDED: io::ErrorKind = io::ErrorKind::ResourceBusy;
 
 /// A connection that took longer than this to come up has taken time that its request had told it has left.
 const LATE: Duration = Duration::from_millis(50);
+/// Between two tries while this machine is short of something.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(10);
 /// So many connections that came up late may wait for the request that is to go on them, at each address.
 const MOST_PARKED: usize = 8;
 
@@ -327,9 +330,10 @@
         let target: SocketAddr = address.parse().map_err(io::Error::other)?;
         let place = timeout(self.limit, self.places.take(1)).await.ok().flatten();
         let place = place.ok_or(io::Error::from(CROWDED))?;
-        let dialled = timeout(self.limit, async {
-            let stream = TcpStream::connect(target).await?;
-            stream.set_nodelay(true)?;
+        let dialled = connect_within(self.limit, || TcpStream::connect(target)).await;
+        dialled.map(|stream| {
+            // Without it small writes wait a little, which is no reason to give the connection up.
+            let _ = stream.set_nodelay(true);
             let stream = Arc::new(stream);
             let carried = Arc::new(Carried { stream: Arc::downgrade(&stream), ..Carried::default() });
             let mut wires = self.wires();
@@ -340,9 +344,29 @@
             });
             wires.entry(target).or_default().push(Arc::downgrade(&carried));
             drop(wires);
-            Ok(Wire { stream, carried, _place: place })
-        });
-        dialled.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+            Wire { stream, carried, _place: place }
+        })
+    }
+}
+
+/// Connects within this time. While this machine itself is short of something it is tried again, and where that lasts the
+/// error is [`CROWDED`]: it tells nothing of the server.
+async fn connect_within<T, C>(limit: Duration, mut connect: impl FnMut() -> C) -> io::Result<T>
+where
+    C: Future<Output = io::Result<T>>,
+{
+    let until = Instant::now() + limit;
+    loop {
+        match timeout_at(until, connect()).await {
+            Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            Ok(Err(error)) if is_local_shortage(&error) => {
+                if Instant::now() + SHORTAGE_PAUSE >= until {
+                    return Err(CROWDED.into());
+                }
+                sleep(SHORTAGE_PAUSE).await;
+            }
+            Ok(connected) => return connected,
+        }
     }
 }
 
@@ -406,3 +430,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/nodes_connections.rs"]
+mod tests;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -262,7 +262,9 @@
 async fn a_client_that_sent_more_than_its_request_is_seen_to_go() {
     let request = format!("{HEAD}Content-Length: 2\r\n\r\n{{}}");
     let many = GET.repeat(300);
-    for behind in ["", "\r\n", GET, &HEAD[..40], "what?", &many] {
+    // More than is kept of what comes behind a request: the end lies behind bytes that are not read.
+    let very_many = GET.repeat(3_000);
+    for behind in ["", "\r\n", GET, &HEAD[..40], "what?", &many, &very_many] {
         let fleet = Fleet::start(false).await;
         fleet.way(0, Way::Wait);
         fleet.way(1, Way::Wait);
--- a/tests/unit/bans.rs
+++ b/tests/unit/bans.rs
@@ -62,3 +62,21 @@
     one.call(5, &id("b"), false, true).unwrap();
     assert_eq!(two.merge(14, one.marks()), [id("b")]);
 }
+
+/// Another process's clock is an hour behind, or ahead: what it says last counts all the same, and for no longer than a
+/// process's own word.
+#[test]
+fn the_last_word_counts_whatever_the_clock_of_who_says_it() {
+    const HOUR: Time = 3_600_000_000;
+    for (here, there) in [(10 * HOUR, 9 * HOUR), (9 * HOUR, 10 * HOUR)] {
+        let (mut one, mut two) = (Bans::default(), Bans::default());
+        one.call(here, &id("a"), true, true).unwrap();
+        assert_eq!(two.merge(there, one.marks()), [id("a")]);
+        two.call(there + 1, &id("a"), false, true).unwrap();
+        assert_eq!(one.merge(here + 2 * ENDED_KEPT, two.marks()), [id("a")], "{here} {there}");
+        assert!(!one.is_banned("a"));
+        assert_eq!(one.ended("a"), Some(here + 2 * ENDED_KEPT), "by the clock of who hears it");
+        one.merge(here + 4 * ENDED_KEPT, &Marks::new());
+        assert!(one.marks().is_empty(), "forgotten in time");
+    }
+}
--- a/tests/unit/dispatch_nodes.rs
+++ b/tests/unit/dispatch_nodes.rs
@@ -21,7 +21,7 @@
     let mut nodes = Nodes::default();
     let list = |nodes: &mut Nodes, named: &[(&str, u64)]| {
         let members = named.iter().map(|(name, key)| member(name, *key, State::Ready)).collect();
-        nodes.list(true, members, &log);
+        nodes.list(0, true, members, &log);
         nodes.forget_gone(&HashSet::new());
     };
     let name =
@@ -40,3 +40,37 @@
     list(&mut nodes, &[]);
     assert!(nodes.hashed.is_empty(), "nothing is left behind");
 }
+
+/// A wall clock was stepped by an hour, there or here: a server that has just started is not taken for warm, and one that runs
+/// for long is not cold for an hour.
+#[test]
+fn the_age_of_a_server_is_bounded_by_when_its_start_was_heard_of() {
+    const SECOND: Time = 1_000_000;
+    const HOUR: Time = 3_600 * SECOND;
+    let log = Logger::root(Discard, o!());
+    let started = |nodes: &Nodes| nodes.get(0).and_then(|it| it.entry().started);
+    let list = |nodes: &mut Nodes, now, at| {
+        let mut member = member("a", 7, State::Ready);
+        member.entry.started = Some(at);
+        nodes.list(now, false, vec![member], &log);
+    };
+    let (mut nodes, now) = (Nodes::default(), 100 * HOUR);
+    // At first nothing but the list tells; a start to come is none.
+    list(&mut nodes, now, 99 * HOUR);
+    assert_eq!(started(&nodes), Some(99 * HOUR));
+    for told in [99 * HOUR + 7, 101 * HOUR + 7] {
+        let heard = now + 10 * SECOND;
+        list(&mut nodes, heard, told);
+        assert!((heard - 6 * SECOND..=heard).contains(&started(&nodes).unwrap()), "{told}");
+        // It ages by this process's clock, however often the list tells of it.
+        let before = started(&nodes);
+        list(&mut nodes, heard + 5 * SECOND, told);
+        assert_eq!(started(&nodes), before);
+    }
+    // Where the clocks agree, what is told holds.
+    list(&mut nodes, now + 30 * SECOND, now + 28 * SECOND);
+    assert_eq!(started(&nodes), Some(now + 28 * SECOND));
+    let mut first = Nodes::default();
+    list(&mut first, now, 101 * HOUR);
+    assert_eq!(started(&first), Some(now));
+}
