--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -242,15 +242,21 @@
         });
     }
 
+    /// A server is about to say that an attempt never ran: from now on its dispatcher may know.
+    pub fn turned_away(&self, id: &str, server: usize, writes: bool) {
+        self.with(id, |trace| {
+            trace.note(format!("s{server} turns it away"));
+            trace.unproven = trace.unproven.saturating_sub(usize::from(writes));
+            None
+        });
+    }
+
     /// An attempt that had arrived is over, by the server's answer or by the end of its connection.
     pub fn attempt_over(&self, id: &str, server: usize, writes: bool, outcome: Outcome) {
         self.with(id, |trace| {
             trace.note(format!("s{server}: attempt over, {outcome:?}"));
             trace.out = trace.out.saturating_sub(1);
             trace.writes_out = trace.writes_out.saturating_sub(usize::from(writes));
-            if writes && outcome == Outcome::NeverRan {
-                trace.unproven = trace.unproven.saturating_sub(1);
-            }
             trace.settle();
             None
         });
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -214,15 +214,16 @@
         &self, stream: &mut TcpStream, buffer: &mut Vec<u8>, line: &Line, id: &str,
     ) -> (Outcome, Result<(), Ends>) {
         let never = "X-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+        let writes = self.role == Role::Writer;
         if is(&self.conduct.full) {
+            self.oracle.turned_away(id, self.number, writes);
             let text = format!("HTTP/1.1 503 Service Unavailable\r\n{never}");
             return (Outcome::NeverRan, self.say(stream, buffer, line, &text).await);
         }
-        if self.role == Role::Writer && !self.oracle.is_held(id) {
-            return (
-                Outcome::NeverRan,
-                self.say(stream, buffer, line, &format!("HTTP/1.1 410 Gone\r\n{never}")).await,
-            );
+        if writes && !self.oracle.is_held(id) {
+            self.oracle.turned_away(id, self.number, writes);
+            let text = format!("HTTP/1.1 410 Gone\r\n{never}");
+            return (Outcome::NeverRan, self.say(stream, buffer, line, &text).await);
         }
         if is(&self.conduct.fails) {
             let text = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -16,6 +16,7 @@
 use crate::notes::Notes;
 use crate::places::PARTS;
 use crate::settings::Site;
+use crate::variants::{breaks, Variant};
 use crate::Router;
 use bytes::Bytes;
 use quartzhall_recording::{Answer as Noted, Record};
@@ -346,6 +347,9 @@
     }
 
     fn gone(&mut self, now: Time, id: RequestId, fate: Option<oneshot::Sender<bool>>) {
+        if breaks(Variant::ClientGone) && self.requests.get(id).is_some_and(Request::is_waiting) {
+            return;
+        }
         let Some(held) = self.requests.get_mut(id) else { return };
         held.fate = fate;
         // A stream that has begun ends at its node when its receiver is dropped, as the client's side does.
@@ -480,7 +484,11 @@
                     self.settle(now, id);
                 }
                 Action::Fail { id, why } => {
-                    self.close(now, id, CloseReason::Failed(why), Answer::Failed);
+                    let answer = match breaks(Variant::Duplicate) {
+                        true => Answer::Refused(Duration::ZERO),
+                        false => Answer::Failed,
+                    };
+                    self.close(now, id, CloseReason::Failed(why), answer);
                     self.settle(now, id);
                 }
                 Action::Release { id } => {
@@ -568,7 +576,10 @@
             _ => Noted::Failed,
         };
         if let Some(waiting) = held.answer.take() {
-            let _ = waiting.send(answer);
+            match breaks(Variant::FinalAnswer) {
+                true => std::mem::forget(waiting),
+                false => drop(waiting.send(answer)),
+            }
         }
         self.note(|notes| notes.over(now, id, noted));
     }
@@ -592,6 +603,9 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         // A stream that goes on needs no state any more; any other attempt may wait for one.
         let attempt_out = request.stream().is_none() && request.has_attempt_out();
+        if attempt_out && breaks(Variant::HeldState) {
+            return;
+        }
         let (is_needed, release_within) = (request.is_waiting(), self.site.settings.release_within);
         if let Some(reason) = request.lease.start_release(now, release_within, is_needed, attempt_out) {
             let name = request.work.name.clone();
--- a/src/dispatch/nodes.rs
+++ b/src/dispatch/nodes.rs
@@ -6,6 +6,7 @@
 use crate::api::{Entry, Role, ServerId, State, Time};
 use crate::bans::{Bans, Marks, Refusal};
 use crate::gossip;
+use crate::variants::{breaks, Variant};
 use slog::{debug, info, Logger};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -207,6 +208,7 @@
     /// The state that holds, by what the list says.
     fn state_of(&self, name: &str, listed: State) -> State {
         match listed {
+            State::Draining if breaks(Variant::Drain) => State::Ready,
             State::Ready if self.bans.is_banned(name) => State::Draining,
             other => other,
         }
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -7,6 +7,7 @@
 use crate::fronts::room::{Rooms, MOST_BODY};
 use crate::moving::SharedExit;
 use crate::settings::{micros, Site};
+use crate::variants::{breaks, Variant};
 use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::{header, HeaderMap, StatusCode};
@@ -184,6 +185,7 @@
             }
             // The stream broke. An error makes the server close the connection at once, with what it has not sent yet: where
             // the break comes right behind the first event, the client would get no answer at all.
+            Poll::Ready(None) if breaks(Variant::StreamEnd) => Poll::Ready(None),
             Poll::Ready(None) if !self.broken => {
                 self.broken = true;
                 context.waker().wake_by_ref();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod settings;
 pub mod strict;
 pub mod system_errors;
+pub mod variants;
 pub mod watch;
 
 pub use logic::Router;
--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -7,6 +7,7 @@
 use super::connections::{CameLate, Carried, Dialer, CROWDED};
 use crate::api::Load;
 use crate::dispatch::EndReason;
+use crate::variants::{breaks, Variant};
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, Limited};
@@ -294,7 +295,8 @@
     /// The request of an attempt, which tells the server the time that is left now.
     fn request(trial: &Trial, until: Instant, taken: &Arc<AtomicBool>) -> Option<Request<Once>> {
         let body = Once { body: Some(trial.work.body.clone()), taken: taken.clone() };
-        let left = until.saturating_duration_since(Instant::now());
+        let surplus = if breaks(Variant::ToldTime) { Duration::from_secs(1) } else { Duration::ZERO };
+        let left = until.saturating_duration_since(Instant::now()) + surplus;
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}{}", trial.address, trial.work.target))
