What must not run twice is not refused right after an attempt was given up

Change: where copies do harm, a request of which an attempt was given up within 100 ms is failed, not refused. Its client has no time left for another try anyway.

Result: a test of the core that fails without the change.

--- a/src/dispatch/core.rs
+++ b/src/dispatch/core.rs
@@ -519,7 +519,7 @@
         let attempt = held.attempts.len() as u32;
         let before = held.attempts.last().map(|it| it.ended);
         let target = checked.as_ref().ok().copied();
-        held.attempts.push(Attempt { server, target, sent: now, ended: None });
+        held.attempts.push(Attempt { server, target, sent: now, ended: None, ended_at: now });
         let (target, node) = match (checked, self.nodes.get(server)) {
             (Ok(target), Some(node)) => (target, node),
             // What the rules forbid is not sent, whoever asks for it.
@@ -554,6 +554,10 @@
         let guard = Guard { settings: &self.rules, target: |server| self.nodes.target(server), now };
         let Some(request) = self.requests.get(id) else { return };
         match guard.check_refusal(request) {
+            // A client that is refused may come again, here or elsewhere, before that close has arrived.
+            Ok(()) if !guard.is_safe(request) && guard.was_given_up_just_now(request) => {
+                self.close(now, id, CloseReason::Failed(why), Answer::Failed);
+            }
             Ok(()) => self.close(now, id, CloseReason::Refused(why), Answer::Refused(retry_after)),
             Err(rule) => {
                 self.violation(now, rule, id);
--- a/src/dispatch/guard.rs
+++ b/src/dispatch/guard.rs
@@ -1,6 +1,7 @@
 //! The one place that every send, refusal and start of a stream passes. It is told what is known of the request and of the
 //! server, and says which rule forbids the step, whatever the decision module wants. Pure: no I/O, no clock.
 
+use super::lease::CLOSE_ARRIVES;
 use super::request::{Attempt, Request};
 use super::rules::Rule;
 use crate::api::{Effect, Group, Role, ServerId, Settings, State, Time};
@@ -48,6 +49,21 @@
         }
     }
 
+    /// Whether any number of copies of a request may run.
+    pub fn is_safe(&self, request: &Request) -> bool {
+        self.settings.classes.get(request.class).is_some_and(|class| class.effect == Effect::Safe)
+    }
+
+    /// Whether an attempt was given up so short a time ago that its server may not have seen the close yet: to that server it
+    /// is still out.
+    pub fn was_given_up_just_now(&self, request: &Request) -> bool {
+        let just_now = |attempt: &Attempt| {
+            let given_up = attempt.ended.is_some_and(|reason| reason.is_given_up());
+            given_up && self.now < attempt.ended_at.saturating_add(CLOSE_ARRIVES)
+        };
+        request.attempts.iter().any(just_now)
+    }
+
     /// Whether an attempt's stream may go to the client.
     pub fn check_stream(&self, request: &Request, attempt: u32) -> Result<(), Rule> {
         match request.is_waiting() && request.is_out(attempt) {
--- a/src/dispatch/lease.rs
+++ b/src/dispatch/lease.rs
@@ -15,7 +15,7 @@
 
 /// A server sees the close of an attempt that was given up within this. A release that another one has read before has let
 /// go of nothing, for that attempt still waited.
-const CLOSE_ARRIVES: Time = 100_000;
+pub(super) const CLOSE_ARRIVES: Time = 100_000;
 
 /// What servers hold for a request.
 #[derive(Debug, Default)]
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -16,6 +16,7 @@
     pub sent: Time,
     /// Why it ended; it is out until then.
     pub ended: Option<EndReason>,
+    pub ended_at: Time,
 }
 
 impl Attempt {
@@ -127,7 +128,7 @@
         &mut self, now: Time, attempt: u32, reason: EndReason, role: impl Fn(ServerId) -> Option<Role>,
     ) -> Option<Ended> {
         let ended = self.attempts.get_mut(attempt as usize).filter(|it| it.is_out())?;
-        ended.ended = Some(reason);
+        (ended.ended, ended.ended_at) = (Some(reason), now);
         let server = ended.server;
         let role = role(server);
         self.may_have_run |= !reason.never_ran() && role != Some(Role::Reader);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -148,6 +148,23 @@
     }
 }
 
+/// An attempt was given up this moment, and its server may not have seen the close: to it the attempt is still out. Where a
+/// second copy does harm, its client is not told that it may come again.
+#[test]
+fn what_must_not_run_twice_is_not_refused_right_after_an_attempt_was_given_up() {
+    for (class, refused) in [(0, true), (1, false)] {
+        let mut bench = Bench::new(10);
+        let mut answered = bench.ask(1, class, "a");
+        bench.pass(1_985 * MS);
+        // The attempt's time and the request's are up together, and the end of the attempt is heard first.
+        bench.now += 8 * MS;
+        bench.ended(1, 0, Status::Timeout);
+        bench.pass(2 * MS);
+        let answer = answered.try_recv().expect("its time is up");
+        assert_eq!(matches!(answer, Answer::Refused(_)), refused, "{answer:?}");
+    }
+}
+
 #[test]
 fn a_name_in_flight_is_no_second_request() {
     let mut bench = Bench::new(10);
--- a/tests/unit/dispatch_guard.rs
+++ b/tests/unit/dispatch_guard.rs
@@ -39,6 +39,7 @@
     let ask = Ask { expires_in: 5_000 * MS, ..Ask::default() };
     let mut request = Request::new(0, &ask, work, false, answer);
     let attempt = |(server, ended): &(ServerId, Option<EndReason>)| Attempt {
+        ended_at: 0,
         server: *server,
         target: target(*server),
         sent: 0,
