--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -79,6 +79,7 @@
     state_at: usize,
     idle_since: Option<Instant>,
     broke: bool,
+    resumed_at: Option<Instant>, // its process stood still up to then
     timeline: Vec<(Instant, String)>,
 }
 
@@ -237,6 +238,9 @@
             if prompt && told.is_some_and(over) {
                 return Some(Invariant::ToldTime);
             }
+            // What was told to a process that stood still is heard when it goes on.
+            let is_just_before = |at: Instant| now.duration_since(at) < DRAIN_GRACE;
+            let prompt = prompt && !trace.resumed_at.is_some_and(is_just_before);
             let late = draining.is_some_and(|since| since > DRAIN_GRACE + RIG_SLACK);
             (prompt && late).then_some(Invariant::Drain)
         });
@@ -332,6 +336,7 @@
             trace.note(format!("its process stood still for {span:?}"));
             trace.idle_since = trace.idle_since.map(|_| Instant::now());
             trace.wait += span;
+            trace.resumed_at = Some(Instant::now());
             trace.gone = trace.gone.map(|_| Instant::now());
         }
     }
