--- a/crates/scale/src/hollow/discovery.rs
+++ b/crates/scale/src/hollow/discovery.rs
@@ -213,17 +213,18 @@
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
             text.len()
         );
+        // Who is back may be sent to as soon as the list is written, and is no longer told to drain before that.
+        for (number, _) in list.told.iter().filter(|(_, state)| *state == State::Ready) {
+            written.told().remove(number);
+        }
         stream.write_all(answer.as_bytes()).await?;
         written.bytes.fetch_add(answer.len() as u64, Ordering::Relaxed);
         written.lists.fetch_add(1, Ordering::Relaxed);
         written.whole.fetch_add(u64::from(list.whole), Ordering::Relaxed);
         let now = Instant::now();
         let mut known = written.told();
-        for (number, state) in list.told.iter().copied() {
-            match state {
-                State::Ready => drop(known.remove(&number)),
-                State::Draining | State::Gone => drop(known.entry(number).or_insert(now)),
-            }
+        for (number, _) in list.told.iter().filter(|(_, state)| *state != State::Ready) {
+            known.entry(*number).or_insert(now);
         }
         Ok(())
     }
