Probes and releases use a connection that came up late, as attempts do

Cause, found on reading the change once more: a connection that comes up after over 50 ms is parked and the request made anew, which stood in the attempt's path alone, while probes and releases dial through the same place. A probe on a late connection failed, and its server was blamed; a release was lost up to its next round.

Change: the second try is in the shared exchange (exchange_when_up), which all three go through.

--- a/src/nodes/http.rs
+++ b/src/nodes/http.rs
@@ -144,6 +144,15 @@
     }
 }
 
+/// Whether the connection came up, but late: nothing was written, and it waits for the request to be made anew.
+fn came_late(failure: &Failure) -> bool {
+    let is_late = |error: &(dyn Error + 'static)| {
+        let inner = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
+        inner.is_some_and(|inner| inner.is::<CameLate>())
+    };
+    any_cause(&failure.error, is_late)
+}
+
 /// Kept connections, and whether they are to be used at all.
 struct Pool {
     client: Client<Dialer, Once>,
@@ -278,13 +287,27 @@
         })
     }
 
+    /// The same with a request that is made when its connection is up: made anew where that came up late, for nothing was
+    /// written then. `None`: no request can be made.
+    async fn exchange_when_up(
+        &self, request: impl Fn() -> Option<Request<Once>>, alone: bool, open: &mut OpenExchange,
+    ) -> Option<Result<Exchanged, Failure>> {
+        match self.exchange(request()?, alone, open).await {
+            Err(failure) if came_late(&failure) => Some(self.exchange(request()?, alone, open).await),
+            exchanged => Some(exchanged),
+        }
+    }
+
     async fn call(
         &self, method: Method, address: &str, target: &str, alone: bool,
     ) -> Option<Response<Incoming>> {
-        let body = Once { body: None, taken: Arc::default() };
-        let request = Request::builder().method(method).uri(format!("http://{address}{target}")).body(body);
+        let request = || {
+            let body = Once { body: None, taken: Arc::default() };
+            let uri = format!("http://{address}{target}");
+            Request::builder().method(method.clone()).uri(uri).body(body).ok()
+        };
         let mut open = OpenExchange::default();
-        let answer = self.exchange(request.ok()?, alone, &mut open).await;
+        let answer = self.exchange_when_up(request, alone, &mut open).await?;
         open.ended();
         answer
             .map_err(|it| debug!(self.log, "a call failed"; "address" => address, "error" => ?it.error))
@@ -307,29 +330,12 @@
         request.ok()
     }
 
-    /// Sends the request of an attempt; once more, where its connection came up late, for nothing was written then.
-    async fn send(
-        &self, trial: &Trial, until: Instant, taken: &Arc<AtomicBool>, open: &mut OpenExchange,
-    ) -> Option<Result<Exchanged, Failure>> {
-        let sent = self.exchange(Self::request(trial, until, taken)?, trial.alone, open).await;
-        let is_late = |error: &(dyn Error + 'static)| {
-            let inner = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
-            inner.is_some_and(|inner| inner.is::<CameLate>())
-        };
-        let came_late = |failure: &Failure| any_cause(&failure.error, is_late);
-        match sent {
-            Err(failure) if came_late(&failure) => {
-                Some(self.exchange(Self::request(trial, until, taken)?, trial.alone, open).await)
-            }
-            sent => Some(sent),
-        }
-    }
-
     /// Runs an attempt to its end.
     pub async fn attempt(&self, mut trial: Trial, passing: Passing) -> End {
         let until = Instant::now() + trial.timeout;
         let taken = Arc::new(AtomicBool::new(false));
         let mut open = OpenExchange::default();
+        let request = || Self::request(&trial, until, &taken);
         let exchange = tokio::select! {
             biased;
             // The drain rule counts from a send's first byte: one that still waits for a connection when its
@@ -337,7 +343,7 @@
             () = self.dialer.barred_while(&trial.address, || !taken.load(Ordering::Relaxed)) => {
                 return EndReason::Barred.into();
             }
-            exchange = timeout_at(until, self.send(&trial, until, &taken, &mut open)) => exchange,
+            exchange = timeout_at(until, self.exchange_when_up(request, trial.alone, &mut open)) => exchange,
         };
         trial.work.body = Bytes::new(); // a long stream keeps none of it
         let exchange = match exchange {
--- a/tests/nodes.rs
+++ b/tests/nodes.rs
@@ -390,3 +390,37 @@
     assert!((4_700..=4_800).contains(&told), "{told} ms of 5 s, 0.2 s later");
     drop(inbox);
 }
+
+/// A probe tells no time: on a connection that came up late it is asked all the same, and blames nobody.
+#[tokio::test(start_paused = true)]
+async fn a_probe_is_answered_on_a_connection_that_came_up_late() {
+    let (commands, mut inbox) = node_side(&[]);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for id in 0..10 {
+        commands.send(send(id, &silent.local_addr().unwrap().to_string())).await.unwrap();
+    }
+    let accepts = move || (0..10).map(|_| silent.accept().unwrap()).collect::<Vec<_>>();
+    let _connections = tokio::task::spawn_blocking(accepts).await.unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string().into();
+    commands.send(Command::Probe { server: 9, address }).await.unwrap();
+    tokio::task::yield_now().await;
+    tokio::time::advance(Duration::from_millis(200)).await;
+    commands.send(Command::Cancel { id: 0, attempt: 0 }).await.unwrap();
+    let answers = move || {
+        let mut stream = listener.accept().unwrap().0;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        if std::io::Read::read(&mut stream, &mut [0; 1024]).unwrap_or(0) > 0 {
+            std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        }
+        stream
+    };
+    let _answered = tokio::task::spawn_blocking(answers).await.unwrap();
+    loop {
+        match next(&mut inbox).await {
+            Event::Probed { server, ok, .. } => return assert_eq!((server, ok), (9, true)),
+            Event::Ended { .. } => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
