Upgrade: name migrated streams by their sockets in both logs, warn of unfinished work at the exit

The incident's logs could not tell which process forwarded which stream, nor that one ended with work left. Sender and receiver now log the peers of a stream's sockets, the receiver logs each end, and the shutdown warns where client connections are still in use. No behaviour changes.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -26,7 +26,7 @@
 use listeners::{Listeners, SideListeners};
 use shutdown::Process;
 use signals::Signals;
-use slog::{info, Level, Logger};
+use slog::{info, warn, Level, Logger};
 use std::path::PathBuf;
 use std::sync::Arc;
 use tasks::{RunningTasks, TaskInputs};
@@ -107,7 +107,7 @@
     info!(log, "starting"; "stage" => "tasks started", "tasks" => vital.count());
     let endpoint_sockets = startup.budgets.sockets.endpoints;
     let max_open_requests = startup.deployment.bounds.max_open_requests;
-    let max_client_connections = limits.clients.capacity();
+    let client_connections = limits.clients.clone();
     let inputs = FrontendInputs {
         dispatcher: dispatcher.clone(),
         limits,
@@ -124,7 +124,7 @@
     );
     info!(log, "serving"; "name" => startup.config.name, "listen" => startup.config.listen,
         "max_open_requests" => max_open_requests.min(endpoint_sockets),
-        "max_client_connections" => max_client_connections,
+        "max_client_connections" => client_connections.capacity(),
         "max_endpoint_connections" => endpoint_sockets);
     let process = Process {
         dispatcher,
@@ -137,6 +137,10 @@
         () = process.run(signals.termination) => {}
         Some(ended) = vital.wait_for_end() => return Err(ServeError::TaskEnded(ended)),
     }
+    let unfinished_connections = client_connections.in_use();
+    if unfinished_connections > 0 {
+        warn!(log, "shutdown with unfinished work"; "client_connections" => unfinished_connections);
+    }
     info!(log, "shutdown complete");
     Ok(())
 }
--- a/src/upgrade/stream_migration/mod.rs
+++ b/src/upgrade/stream_migration/mod.rs
@@ -20,9 +20,45 @@
     SharedMigrationSlot, UpstreamHalf,
 };
 
+use socket2::{SockAddr, SockRef};
+use std::fmt::{self, Display, Formatter};
 use std::io;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use thiserror::Error;
 
+/// The peers of a stream's two sockets, by which the logs of two processes name the same stream.
+struct StreamSockets {
+    client: Option<SocketAddr>,
+    upstream: Option<SocketAddr>,
+}
+
+impl StreamSockets {
+    fn of(client: &impl AsFd, upstream: &impl AsFd) -> StreamSockets {
+        StreamSockets {
+            client: peer_address(client),
+            upstream: peer_address(upstream),
+        }
+    }
+}
+
+fn peer_address(socket: &impl AsFd) -> Option<SocketAddr> {
+    let address = SockRef::from(socket).peer_addr();
+    address.as_ref().ok().and_then(SockAddr::as_socket)
+}
+
+impl Display for StreamSockets {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for (name, address) in [("client", self.client), ("upstream", self.upstream)] {
+            match address {
+                Some(address) => write!(formatter, "{name} {address} ")?,
+                None => write!(formatter, "{name} disconnected ")?,
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Why a stream was not migrated, or broke after it was.
 #[derive(Debug, Error)]
 enum MigrationError {
--- a/src/upgrade/stream_migration/receiver.rs
+++ b/src/upgrade/stream_migration/receiver.rs
@@ -2,7 +2,7 @@
 
 use super::forwarder;
 use super::frame::{FrameHeader, ACCEPTED, HEADER_BYTES};
-use super::MigrationError;
+use super::{MigrationError, StreamSockets};
 use crate::net::connection_limit::ConnectionLimit;
 use crate::net::message_framing::ChunkedDecoder;
 use crate::net::system_errors::AcceptPauses;
@@ -71,9 +71,13 @@
             return;
         }
     };
-    info!(log, "stream received");
-    if let Err(error) = forwarder::forward(stream).await {
-        info!(log, "received stream broken"; "error" => %error);
+    let sockets = StreamSockets::of(&stream.client, &stream.upstream);
+    info!(log, "stream received"; "sockets" => %sockets);
+    match forwarder::forward(stream).await {
+        Ok(()) => info!(log, "received stream complete"; "sockets" => %sockets),
+        Err(error) => {
+            info!(log, "received stream broken"; "sockets" => %sockets, "error" => %error);
+        }
     }
 }
 
--- a/src/upgrade/stream_migration/sender.rs
+++ b/src/upgrade/stream_migration/sender.rs
@@ -2,13 +2,13 @@
 
 use super::frame::{FrameHeader, ACCEPTED, HEADER_BYTES};
 use super::slot::{MigratingStream, UpstreamHalf};
-use super::MigrationError;
+use super::{MigrationError, StreamSockets};
 use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
-use slog::{warn, Logger};
+use slog::{info, warn, Logger};
 use std::io::IoSlice;
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
@@ -33,19 +33,25 @@
         client,
         migrated,
     } = stream;
-    let result = match path {
+    let sockets = StreamSockets::of(&client, &upstream_half.upstream);
+    let result = match &path {
         Some(path) => send(path, &upstream_half, client).await,
         None => Err(MigrationError::NoSuccessor),
     };
-    if let Err(error) = &result {
-        warn!(log, "stream migration failed"; "error" => %error);
+    match &result {
+        Ok(()) => {
+            info!(log, "stream migrated"; "sockets" => %sockets, "successor" => path.map(|path| path.display().to_string()));
+        }
+        Err(error) => {
+            warn!(log, "stream migration failed"; "sockets" => %sockets, "error" => %error);
+        }
     }
     let _ = migrated.send(result.is_ok());
     let _ = upstream_half.migrated.send(result.is_ok());
 }
 
 async fn send(
-    path: PathBuf,
+    path: &Path,
     upstream_half: &UpstreamHalf,
     client: OwnedFd,
 ) -> Result<(), MigrationError> {
