Failing test of the incident: a process that has received streams is told to end

Real processes on one inherited socket; endpoints pause in mid-stream, so that only migration or waiting can keep a stream whole.

--- a/tests/upgrade/setup.rs
+++ b/tests/upgrade/setup.rs
@@ -1,3 +1,6 @@
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
 //! A dispatcher that is upgraded, as its processes, its clients and its operators see it.
 
 use super::free_address::free_address;
@@ -5,6 +8,7 @@
 use axum::http::Uri;
 use axum::routing::get;
 use axum::Router;
+use std::fs::File;
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -29,6 +33,7 @@
 pub(crate) struct Process {
     pub child: Child,
     pub management_address: String,
+    pub log_path: PathBuf,
 }
 
 /// What a client reads of a response.
@@ -140,9 +145,12 @@
     pub(crate) async fn start_process(&self) -> Process {
         let management_address = free_address().await;
         let mut command = self.command("5", self.inheritable_socket(), &management_address);
+        let log_path = self.folder.join(format!("{management_address}.log"));
+        command.stderr(File::create(&log_path).unwrap());
         let process = Process {
             child: command.spawn().unwrap(),
             management_address,
+            log_path,
         };
         let until_ready = async {
             while process.call("ready").await.as_deref() != Some("ACK\n") {
@@ -228,6 +236,43 @@
     })
 }
 
+/// A response whose first event has come, on a connection of its own.
+pub(crate) struct OpenStream {
+    connection: BufReader<TcpStream>,
+    received: Vec<u8>,
+}
+
+impl OpenStream {
+    /// Sends a request and waits for the first event of its response.
+    pub(crate) async fn start(setup: &UpgradeSetup, trace_id: &str) -> OpenStream {
+        let mut connection = setup.connect().await;
+        connection
+            .write_all(request(trace_id).as_bytes())
+            .await
+            .unwrap();
+        let mut received = Vec::new();
+        while !String::from_utf8_lossy(&received).contains(testbed::ANSWER[0]) {
+            let read_bytes = connection.read_buf(&mut received).await.unwrap();
+            assert_ne!(read_bytes, 0, "{}", String::from_utf8_lossy(&received));
+        }
+        OpenStream {
+            connection,
+            received,
+        }
+    }
+
+    /// Reads up to the last chunk, or to the connection's end where that comes first; returns all of the response.
+    pub(crate) async fn finish(mut self) -> String {
+        while !self.received.ends_with(b"0\r\n\r\n") {
+            match self.connection.read_buf(&mut self.received).await {
+                Ok(0) | Err(_) => break,
+                Ok(_) => {}
+            }
+        }
+        String::from_utf8(self.received).unwrap()
+    }
+}
+
 async fn read_line(connection: &mut BufReader<TcpStream>) -> Option<String> {
     let mut line = String::new();
     if connection.read_line(&mut line).await.ok()? == 0 {
@@ -266,6 +311,23 @@
         Some(response)
     }
 
+    /// What the process has logged so far.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Waits until the process has logged this text.
+    pub(crate) async fn wait_for_log(&self, text: &str) {
+        let until_logged = async {
+            while !self.log().contains(text) {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(20), until_logged)
+            .await
+            .unwrap_or_else(|_| panic!("never logged {text:?}: {}", self.log()));
+    }
+
     pub(crate) async fn assert_acknowledged(&self, line: &str) {
         assert_eq!(self.call(line).await.as_deref(), Some("ACK\n"));
     }
