--- a/src/backend/attempt.rs
+++ b/src/backend/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt at an endpoint, on either wire protocol: what is sent, how it ended, and the forwarding of its stream.
 
 use super::event_stream::{EventStream, MalformedEvent};
-use crate::dispatcher::{DispatcherHandle, EndReason, Event, StreamChunk, UpstreamRequest};
+use crate::dispatcher::{
+    DispatcherHandle, EndReason, Event, StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS,
+};
 use crate::net::message_framing::ChunkedDecoder;
 use crate::routing::api::{LoadReport, RequestId};
-use crate::upgrade::stream_migration::{MigrationSignal, UpstreamHalf};
+use crate::upgrade::stream_migration::{MigrationSignal, OfferClaim, UpstreamHalf, UpstreamState};
 use bytes::Bytes;
 use slog::{info, Logger};
 use std::future::Future;
@@ -13,15 +15,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// How many chunks of a stream may wait for a slow client before no more is read from its endpoint.
-const MAX_QUEUED_CHUNKS: usize = 4;
 /// A stream without a whole event for so long has broken, whether its endpoint is silent or sends bytes that make no
 /// event. A client may wait 5 s for that. A busy endpoint may be silent for nearly as long, and a stream that goes on
 /// must not be cut.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(4700);
 
+/// An offer to migrate that nobody has taken after so long is withdrawn: no event may be held back by 0.3 s.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(80);
+/// A stream that could not migrate tries again after this.
+const MIGRATION_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Names one attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptKey {
@@ -98,6 +103,8 @@
     is_committed: Arc<AtomicBool>,
     events: EventStream,
     last_event_at: Instant,
+    /// A stream does not try to migrate before this.
+    next_migration_at: Instant,
     migration: MigrationSignal,
     log: Logger,
 }
@@ -117,11 +124,24 @@
             is_committed: Arc::default(),
             events: EventStream::default(),
             last_event_at: Instant::now(),
+            next_migration_at: Instant::now(),
             migration,
             log,
         }
     }
 
+    /// A forwarder that goes on with a stream which another process has begun. It has started, and the time since its
+    /// last event counts on.
+    pub fn resume(mut self, chunks: mpsc::Sender<StreamChunk>, state: &UpstreamState) -> Self {
+        self.events = EventStream::resume(&state.partial_event);
+        self.chunks = Some(chunks);
+        self.is_committed.store(true, Ordering::Relaxed);
+        if let Some(last_event_at) = self.last_event_at.checked_sub(state.silent_for) {
+            self.last_event_at = last_event_at;
+        }
+        self
+    }
+
     /// Whether a first event has come. It ends the attempt's timeout.
     pub fn has_started(&self) -> bool {
         self.chunks.is_some()
@@ -151,32 +171,58 @@
         }
     }
 
-    /// Waits until the stream is to migrate and it is its turn; for ever before the stream has started.
-    pub async fn migration_turn(&self) -> OwnedSemaphorePermit {
-        if self.has_started() {
-            self.migration.acquire().await
-        } else {
-            std::future::pending().await
+    /// Waits until the stream is to migrate and it is its turn. Does not borrow the forwarder, so that events may be
+    /// forwarded meanwhile and the stream keeps its place among those that wait.
+    pub fn migration_turn(&self) -> impl Future<Output = OwnedSemaphorePermit> + use<> {
+        let signal = self.migration.clone();
+        let next_migration_at = self.next_migration_at;
+        async move {
+            sleep_until(next_migration_at).await;
+            signal.acquire().await
         }
     }
 
+    /// The stream does not try to migrate for a while.
+    pub fn postpone_migration(&mut self) {
+        self.next_migration_at = Instant::now() + MIGRATION_RETRY_INTERVAL;
+    }
+
+    /// Whether a chunk can be forwarded without a wait for the client.
+    pub fn can_forward_now(&self) -> bool {
+        let chunks = self.chunks.as_ref();
+        chunks.is_some_and(|chunks| chunks.capacity() > 0)
+    }
+
     /// Offers the upstream connection, behind all chunks forwarded so far. Returns whether the stream has migrated;
-    /// nothing of it is left here then.
-    pub async fn migrate(&self, upstream: OwnedFd, decoder: ChunkedDecoder) -> bool {
-        let Some(chunks) = &self.chunks else {
-            return false;
-        };
-        let (migrated, is_migrated) = oneshot::channel();
+    /// nothing of it is left here then. Otherwise it goes on here, and tries again later.
+    pub async fn migrate(&mut self, upstream: OwnedFd, chunks: ChunkedDecoder) -> bool {
+        let (migrated, mut was_migrated) = oneshot::channel();
+        let claim = OfferClaim::default();
         let half = UpstreamHalf {
             upstream,
-            chunks: decoder,
-            partial_event: self.events.partial_event(),
+            state: UpstreamState {
+                chunks,
+                partial_event: self.events.partial_event(),
+                silent_for: self.last_event_at.elapsed(),
+            },
+            claim: claim.clone(),
             migrated,
         };
-        if chunks.send(StreamChunk::Migrate(half)).await.is_err() {
-            return false;
-        }
-        is_migrated.await.unwrap_or(false)
+        let offer = async {
+            if let Some(chunks) = &self.chunks {
+                let _ = chunks.send(StreamChunk::Migrate(half)).await;
+            }
+            (&mut was_migrated).await.unwrap_or(false)
+        };
+        let has_migrated = match timeout(OFFER_TIMEOUT, offer).await {
+            Ok(has_migrated) => has_migrated,
+            // A client that reads slowly has not come to the offer yet.
+            Err(_) if claim.claim() => false,
+            // It is on its way: whoever sends it withdraws it in time, or has handed it over.
+            Err(_) => was_migrated.await.unwrap_or(false),
+        };
+        self.postpone_migration();
+        has_migrated
     }
 
     /// Logs why the client of a stream that has started gets no complete response, where no connection broke.
--- a/src/backend/connector.rs
+++ b/src/backend/connector.rs
@@ -111,6 +111,11 @@
         &self.gate
     }
 
+    /// The limit on connections.
+    pub fn limit(&self) -> &ConnectionLimit {
+        &self.permits
+    }
+
     /// How long a connection may take to come up.
     pub fn connect_timeout(&self) -> Duration {
         self.connect_timeout
--- a/src/backend/event_stream.rs
+++ b/src/backend/event_stream.rs
@@ -36,9 +36,10 @@
 }
 
 impl EventStream {
-    /// Continues a stream whose first event has been forwarded.
-    pub fn resume() -> EventStream {
+    /// Continues a stream whose first event has been forwarded, and of whose next one these bytes have come.
+    pub fn resume(partial_event: &[u8]) -> EventStream {
         EventStream {
+            buffer: partial_event.into(),
             has_started: true,
             ..EventStream::default()
         }
--- a/src/backend/http/mod.rs
+++ b/src/backend/http/mod.rs
@@ -8,6 +8,7 @@
 mod hyper_connector;
 mod request_body;
 mod response_stream;
+mod stream_source;
 mod usage;
 
 pub use usage::{parse_tail, StreamReport};
@@ -17,6 +18,7 @@
 use super::load_report::parse_load;
 use crate::dispatcher::EndReason;
 use crate::routing::api::LoadReport;
+use crate::upgrade::stream_migration::ReceivedUpstream;
 use crate::variants::{breaks, Variant};
 use bytes::Bytes;
 use connection_pool::ConnectionPool;
@@ -25,7 +27,7 @@
 use hyper::body::Incoming;
 use hyper::{header, Method, Request, Response, StatusCode};
 use request_body::SingleFrameBody;
-use response_stream::forward_stream;
+use response_stream::{forward_received_stream, forward_stream};
 use slog::{debug, Logger};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -97,6 +99,15 @@
         }
     }
 
+    /// Goes on with an attempt that another process has begun, to its end.
+    pub async fn resume(
+        &self,
+        upstream: ReceivedUpstream,
+        forwarder: StreamForwarder,
+    ) -> AttemptResult {
+        forward_received_stream(upstream, forwarder).await
+    }
+
     /// Sends an attempt's request and waits for the head of the response, until the deadline.
     async fn send(
         &self,
--- a/src/backend/http/response_stream.rs
+++ b/src/backend/http/response_stream.rs
@@ -1,33 +1,33 @@
-//! A streamed response: its frames go to the [`StreamForwarder`], its last lines are buffered for the usage and the
-//! load that they report, and it can migrate to another process between two frames.
+//! A streamed response: its data goes to the [`StreamForwarder`], its last lines are buffered for the usage and the
+//! load that they report, and it can migrate to another process between two pieces of data. One implementation serves
+//! responses to requests of this process and those that another one has handed over.
 
-use super::exchange::{reason_may_have_run, CloseGuard, ResponseHead};
+use super::exchange::{CloseGuard, ResponseHead};
+use super::stream_source::{ClientSource, ReceivedSource, SourcePosition, StreamSource};
 use super::usage::{load_from_headers, parse_tail};
 use crate::backend::attempt::{AttemptResult, StreamForwarder};
-use crate::backend::tracked_connection::TrackedConnection;
 use crate::dispatcher::EndReason;
+use crate::routing::api::LoadReport;
+use crate::upgrade::stream_migration::ReceivedUpstream;
 use bytes::Bytes;
-use http_body::Frame;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{header, HeaderMap};
-use slog::{debug, Logger};
-use std::sync::Arc;
+use slog::Logger;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{timeout_at, Instant};
 
 /// Bytes read from an endpoint pass through the HTTP client within this time.
-const MAX_CLIENT_DELAY: Duration = Duration::from_millis(300);
+const MAX_CLIENT_DELAY: Duration = Duration::from_millis(30);
 /// How many of a stream's last bytes are buffered for the usage and the load report in them.
 const TAIL_BYTES: usize = 4096;
 
-/// What the body gave next: a frame, its end, or an error.
-type NextFrame = Option<hyper::Result<Frame<Bytes>>>;
+/// What the source gave next: data, its end, or an error.
+type NextData = Option<Result<Bytes, EndReason>>;
 
 /// What a stream does next.
 enum StreamStep {
-    Frame(NextFrame),
+    Data(NextData),
     /// It is this stream's turn to migrate. The turn ends when the permit is dropped.
     Migrate(OwnedSemaphorePermit),
 }
@@ -45,12 +45,10 @@
     Migrated,
 }
 
-struct ResponseStream<'a> {
-    body: Incoming,
+struct ResponseStream {
+    source: StreamSource,
     forwarder: StreamForwarder,
-    received_bytes: u64,
     tail: Vec<u8>,
-    log: &'a Logger,
 }
 
 /// Forwards a streamed response to its end. The guard is disarmed when the first event has come.
@@ -58,7 +56,7 @@
     head: ResponseHead,
     deadline: Instant,
     forwarder: StreamForwarder,
-    mut guard: CloseGuard,
+    guard: CloseGuard,
     log: &Logger,
 ) -> AttemptResult {
     let header_load = load_from_headers(head.response.headers());
@@ -68,32 +66,26 @@
             ..EndReason::UnreadableResponse.into()
         };
     }
-    let mut stream = ResponseStream {
-        body: head.response.into_body(),
-        forwarder,
-        received_bytes: 0,
-        tail: Vec::new(),
-        log,
-    };
-    match stream.run(deadline, head.connection, &mut guard).await {
-        Ok(StreamEnd::Completed) => {}
-        Ok(StreamEnd::Migrated) => return EndReason::Served.into(),
-        Err(reason) => return reason.into(),
-    }
-    guard.disarm();
-    if let Err(reason) = stream.forwarder.finish().await {
-        return AttemptResult {
-            load: header_load,
-            ..reason.into()
-        };
-    }
-    let report = parse_tail(&stream.tail);
-    AttemptResult {
-        reason: EndReason::Served,
-        cached_tokens: report.cached_tokens,
-        completion_tokens: report.completion_tokens,
-        load: report.load.or(header_load),
+    let source = StreamSource::Client(ClientSource::new(head, log.clone()));
+    let stream = ResponseStream::new(source, forwarder);
+    stream.forward_to_end(deadline, guard, header_load).await
+}
+
+/// Goes on with a streamed response that another process has begun. Its first event has come there.
+pub(super) async fn forward_received_stream(
+    upstream: ReceivedUpstream,
+    forwarder: StreamForwarder,
+) -> AttemptResult {
+    let source = ReceivedSource::new(upstream.socket, upstream.state.chunks);
+    let mut stream = ResponseStream::new(StreamSource::Received(source), forwarder);
+    // The frame's partial event may hold whole ones, where the sender's version did not forward them.
+    if let Err(reason) = stream.forwarder.forward(&[]).await {
+        return reason.into();
     }
+    let no_deadline = Instant::now(); // it holds before the first event only
+    stream
+        .forward_to_end(no_deadline, CloseGuard::default(), None)
+        .await
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
@@ -103,57 +95,88 @@
         .is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
-impl ResponseStream<'_> {
-    /// Forwards frames until the stream ends or migrates.
+impl ResponseStream {
+    fn new(source: StreamSource, forwarder: StreamForwarder) -> ResponseStream {
+        ResponseStream {
+            source,
+            forwarder,
+            tail: Vec::new(),
+        }
+    }
+
+    async fn forward_to_end(
+        mut self,
+        deadline: Instant,
+        mut guard: CloseGuard,
+        header_load: Option<LoadReport>,
+    ) -> AttemptResult {
+        match self.run(deadline, &mut guard).await {
+            Ok(StreamEnd::Completed) => {}
+            Ok(StreamEnd::Migrated) => {
+                self.source.release();
+                return EndReason::Migrated.into();
+            }
+            Err(reason) => return reason.into(),
+        }
+        guard.disarm();
+        if let Err(reason) = self.forwarder.finish().await {
+            return AttemptResult {
+                load: header_load,
+                ..reason.into()
+            };
+        }
+        let report = parse_tail(&self.tail);
+        AttemptResult {
+            reason: EndReason::Served,
+            cached_tokens: report.cached_tokens,
+            completion_tokens: report.completion_tokens,
+            load: report.load.or(header_load),
+        }
+    }
+
+    /// Forwards data until the stream ends or migrates.
     async fn run(
         &mut self,
         deadline: Instant,
-        mut connection: Option<Arc<TrackedConnection>>,
         guard: &mut CloseGuard,
     ) -> Result<StreamEnd, EndReason> {
         loop {
-            let step = tokio::select! {
-                biased;
-                frame = self.forwarder.next(deadline, self.body.frame()) => StreamStep::Frame(frame?),
-                turn = self.forwarder.migration_turn(), if connection.is_some() => StreamStep::Migrate(turn),
-            };
-            match step {
-                StreamStep::Frame(frame) => {
-                    if self.forward_frame(frame).await? == StreamProgress::Ended {
-                        return Ok(StreamEnd::Completed);
-                    }
-                    if self.forwarder.has_started() {
-                        guard.disarm();
+            // A turn that was waited for is kept over the data that comes meanwhile.
+            let mut turn = pin!(self.forwarder.migration_turn());
+            loop {
+                let step = tokio::select! {
+                    biased;
+                    data = self.forwarder.next(deadline, self.source.next_data()) => StreamStep::Data(data?),
+                    turn = turn.as_mut(), if self.forwarder.has_started() => StreamStep::Migrate(turn),
+                };
+                match step {
+                    StreamStep::Data(data) => {
+                        if self.forward_data(data).await? == StreamProgress::Ended {
+                            return Ok(StreamEnd::Completed);
+                        }
+                        if self.forwarder.has_started() {
+                            guard.disarm();
+                        }
                     }
-                }
-                StreamStep::Migrate(_turn) => {
-                    // It is tried once: a stream that can't migrate now can't later.
-                    let Some(connection) = connection.take() else {
-                        continue;
-                    };
-                    if self.migrate(&connection).await? {
-                        return Ok(StreamEnd::Migrated);
+                    StreamStep::Migrate(_turn) => {
+                        if self.migrate().await? {
+                            return Ok(StreamEnd::Migrated);
+                        }
+                        self.source.resume();
+                        break;
                     }
-                    connection.resume_reading();
                 }
             }
         }
     }
 
-    async fn forward_frame(&mut self, frame: NextFrame) -> Result<StreamProgress, EndReason> {
-        let frame = match frame {
-            Some(Ok(frame)) => frame,
-            Some(Err(error)) => {
-                debug!(self.log, "response stream broken"; "error" => ?error);
-                return Err(reason_may_have_run(&error));
-            }
-            None => return Ok(StreamProgress::Ended),
+    async fn forward_data(&mut self, data: NextData) -> Result<StreamProgress, EndReason> {
+        let Some(data) = data else {
+            return Ok(StreamProgress::Ended);
         };
-        if let Ok(data) = frame.into_data() {
-            self.received_bytes += data.len() as u64;
-            self.buffer_tail(&data);
-            self.forwarder.forward(&data).await?;
-        }
+        let data = data?;
+        self.buffer_tail(&data);
+        self.forwarder.forward(&data).await?;
         Ok(StreamProgress::Continues)
     }
 
@@ -166,27 +189,29 @@
 
     /// Hands the connection to another process: nothing more is read from it, and what was read is forwarded first.
     /// Returns whether the stream goes on there; reading is still paused then.
-    async fn migrate(&mut self, connection: &TrackedConnection) -> Result<bool, EndReason> {
-        connection.pause_reading();
+    async fn migrate(&mut self) -> Result<bool, EndReason> {
+        self.source.pause();
         let deadline = Instant::now() + MAX_CLIENT_DELAY;
         loop {
-            let Some((decoder, read_bytes)) = connection.response_body() else {
-                return Ok(false);
-            };
-            if decoder.ended() {
-                return Ok(false);
-            }
-            if read_bytes == self.received_bytes {
-                let Some(descriptor) = connection.duplicate_descriptor() else {
+            match self.source.position() {
+                SourcePosition::Reached { upstream, chunks } => {
+                    return Ok(self.forwarder.migrate(upstream, chunks).await);
+                }
+                // While the client is stalled a forward would wait for it, and others for this stream's turn.
+                SourcePosition::Behind if self.forwarder.can_forward_now() => {}
+                SourcePosition::Behind | SourcePosition::Unknown => {
+                    self.forwarder.postpone_migration();
                     return Ok(false);
-                };
-                return Ok(self.forwarder.migrate(descriptor, decoder).await);
+                }
             }
             // Bytes that were read and have not come here yet need only the connection's own task.
-            let Ok(frame) = timeout_at(deadline, self.body.frame()).await else {
+            let Ok(data) = timeout_at(deadline, self.source.next_data()).await else {
+                self.forwarder.postpone_migration();
                 return Ok(false);
             };
-            if self.forward_frame(frame).await? == StreamProgress::Ended {
+            let has_ended = data.is_none();
+            self.forward_data(data).await?;
+            if has_ended {
                 return Ok(false);
             }
         }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -16,10 +16,10 @@
 pub mod websocket;
 
 use crate::config::Bounds;
-use crate::dispatcher::{Command, DispatcherHandle, EndReason, Event};
+use crate::dispatcher::{Command, DispatcherHandle, EndReason, Event, ReceivedAttempt};
 use crate::net::connection_limit::ConnectionLimit;
 use crate::routing::api::{EndpointId, RequestId};
-use crate::upgrade::stream_migration::MigrationSignal;
+use crate::upgrade::stream_migration::{migration_signal, MigrationSignal};
 use attempt::{AttemptKey, AttemptRequest, AttemptResult, ConnectionPolicy, StreamForwarder};
 use connector::Connector;
 use http::HttpBackend;
@@ -90,6 +90,24 @@
     }
 }
 
+/// What the backend is told of streams that go to another process or come from one.
+pub struct StreamMigration {
+    /// When streams are to migrate.
+    pub signal: MigrationSignal,
+    /// The streams that another process has begun.
+    pub received_attempts: mpsc::Receiver<ReceivedAttempt>,
+}
+
+impl StreamMigration {
+    /// For a process that is alone.
+    pub fn disabled() -> StreamMigration {
+        StreamMigration {
+            signal: migration_signal().1,
+            received_attempts: mpsc::channel(1).1,
+        }
+    }
+}
+
 /// Runs the commands, and the tasks that they start.
 struct Backend {
     cancels: HashMap<AttemptKey, oneshot::Sender<()>>,
@@ -146,12 +164,7 @@
         let key = request.key();
         let (cancel, cancelled) = oneshot::channel::<()>();
         let client = self.client.clone();
-        let forwarder = StreamForwarder::new(
-            client.dispatcher.clone(),
-            key,
-            self.migration.clone(),
-            client.log.clone(),
-        );
+        let forwarder = self.forwarder(key);
         let is_committed = forwarder.committed_flag();
         let cancelled = async move {
             // A cancel may cross with the first event. The dispatcher has then given the stream to the client, and
@@ -167,6 +180,35 @@
         self.cancels.insert(key, cancel);
     }
 
+    /// Goes on with a stream that another process has begun, as an attempt like any other.
+    fn resume_attempt(&mut self, attempt: ReceivedAttempt) {
+        let ReceivedAttempt {
+            id,
+            upstream,
+            chunks,
+        } = attempt;
+        let key = AttemptKey { id, attempt: 0 };
+        let client = self.client.clone();
+        let forwarder = self.forwarder(key).resume(chunks, &upstream.state);
+        // Streams that are handed over count, also beyond the limit: the process that had them has closed theirs.
+        let permit = self.connector.limit().acquire_beyond_limit();
+        let task = self.tasks.spawn(async move {
+            let result = client.http.resume(upstream, forwarder).await;
+            drop(permit);
+            client.dispatcher.send(attempt_ended(key, result)).await;
+        });
+        self.attempts.insert(task.id(), key);
+    }
+
+    fn forwarder(&self, key: AttemptKey) -> StreamForwarder {
+        StreamForwarder::new(
+            self.client.dispatcher.clone(),
+            key,
+            self.migration.clone(),
+            self.client.log.clone(),
+        )
+    }
+
     fn cancel_attempt(&mut self, key: AttemptKey) {
         if let Some(cancel) = self.cancels.remove(&key) {
             let _ = cancel.send(()); // the attempt may have ended
@@ -219,16 +261,20 @@
 
 /// Runs the dispatcher's commands until their channel is closed. `connections` limits the connections to endpoints;
 /// `websocket_endpoints` are the addresses of endpoints that use WebSocket sessions. Streams migrate to another process
-/// when `migration` asks for it.
+/// and come from one as `migration` tells.
 pub async fn run(
     mut commands: mpsc::Receiver<Command>,
     dispatcher: DispatcherHandle,
     bounds: Bounds,
     connections: ConnectionLimit,
     websocket_endpoints: HashSet<String>,
-    migration: MigrationSignal,
+    migration: StreamMigration,
     log: Logger,
 ) {
+    let StreamMigration {
+        signal: migration,
+        mut received_attempts,
+    } = migration;
     let max_idle_per_endpoint = (connections.capacity() / IDLE_CONNECTION_DIVISOR).max(1);
     let connector = Connector::new(Duration::from_micros(bounds.connect_timeout), connections);
     // Endpoints close connections that were idle for the settings' time; a request written then would be lost.
@@ -266,6 +312,7 @@
                     backend.execute(command);
                 }
             }
+            Some(attempt) = received_attempts.recv() => backend.resume_attempt(attempt),
             Some(finished) = backend.tasks.join_next_with_id() => backend.on_task_finished(finished),
         }
     }
--- a/src/backend/tracked_connection.rs
+++ b/src/backend/tracked_connection.rs
@@ -31,6 +31,7 @@
     stream: Weak<TcpStream>,
     read_gate: Mutex<ReadGate>,
     closes_when_idle: AtomicBool,
+    was_duplicated: AtomicBool,
 }
 
 impl TrackedConnection {
@@ -117,7 +118,15 @@
 
     /// A duplicate of the connection's descriptor.
     pub fn duplicate_descriptor(&self) -> Option<OwnedFd> {
-        self.stream.upgrade()?.as_fd().try_clone_to_owned().ok()
+        let duplicate = self.stream.upgrade()?.as_fd().try_clone_to_owned().ok()?;
+        self.was_duplicated.store(true, Ordering::Relaxed);
+        Some(duplicate)
+    }
+
+    /// Whether another process may have the connection's descriptor although the connection belongs to this one, so
+    /// that a close alone does not end it.
+    pub(super) fn needs_shutdown(&self) -> bool {
+        self.was_duplicated.load(Ordering::Relaxed) && !self.is_reading_paused()
     }
 
     /// Records bytes read from the endpoint.
--- a/src/backend/transport.rs
+++ b/src/backend/transport.rs
@@ -51,6 +51,14 @@
     }
 }
 
+impl Drop for Transport {
+    fn drop(&mut self) {
+        if self.connection.needs_shutdown() {
+            self.connection.close();
+        }
+    }
+}
+
 impl AsyncRead for Transport {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/dispatcher/core.rs
+++ b/src/dispatcher/core.rs
@@ -1,13 +1,14 @@
 //! The dispatcher's state machine: events in, commands out.
 //!
 //! [`Core`] owns the router, the request table, the endpoint table, the settings in force, the timers and the report. This
-//! file joins them; the handlers of each concern are in a module of their own: [`requests`], [`attempts`],
+//! file joins them; the handlers of each concern are in a module of their own: [`requests`], [`attempts`], [`received_streams`],
 //! [`router_actions`], [`endpoints`], [`gossip`], [`settings`] and [`lifecycle`].
 
 mod attempts;
 mod endpoints;
 mod gossip;
 mod lifecycle;
+mod received_streams;
 mod requests;
 mod router_actions;
 mod settings;
@@ -96,6 +97,7 @@
                 upstream,
                 outcome,
             } => self.on_request_arrived(now, metadata, upstream, outcome),
+            Event::StreamReceived(received) => self.on_stream_received(now, received),
             Event::ClientDisconnected { id, may_have_run } => {
                 self.on_client_disconnected(now, id, may_have_run);
             }
@@ -112,13 +114,7 @@
                 completion_tokens,
                 load,
             } => {
-                let end = AttemptEnd {
-                    id,
-                    attempt,
-                    reason,
-                    cached_tokens,
-                    load,
-                };
+                let end = AttemptEnd::new(id, attempt, reason, cached_tokens, load);
                 self.on_attempt_ended(now, end, completion_tokens);
             }
             Event::ReleaseCompleted { id, confirmed } => {
--- a/src/dispatcher/core/attempts.rs
+++ b/src/dispatcher/core/attempts.rs
@@ -109,7 +109,9 @@
     }
 
     pub(super) fn on_attempt_ended(&mut self, now: Time, end: AttemptEnd, completion_tokens: f64) {
-        if let Some(recorder) = &mut self.recorder {
+        let request = self.requests.get(end.id);
+        let is_received = request.is_some_and(|request| request.is_received);
+        if let Some(recorder) = self.recorder.as_mut().filter(|_| !is_received) {
             recorder.record_attempt_end(
                 now,
                 end.id,
@@ -146,7 +148,7 @@
             self.endpoints.record_contact(now, endpoint);
         }
         if was_open_stream {
-            self.record_stream_end(now, id, endpoint, status);
+            self.on_stream_ended(now, id, endpoint, reason);
         }
         // While attempts reach no endpoint, the router may start the next one at once, each time: what a broken prefill may
         // have left is released in between.
@@ -161,52 +163,97 @@
         }
         let request = self.requests.get(id);
         let request_closed = request.is_some_and(Request::is_closed);
+        let is_received = request.is_some_and(|request| request.is_received);
         let listed = self.endpoints.get(endpoint);
         self.report
             .log_attempt_failure(now, id, attempt, reason, request, listed);
         self.report
             .log_attempt_ended(id, attempt, endpoint, status, cached_tokens, request_closed);
-        if let Some(load) = &load {
+        self.share_observations(now, endpoint, status, load.as_ref());
+        // The router knows nothing of a request that another process has begun.
+        if !is_received {
+            self.drive_router(
+                now,
+                api::Event::AttemptEnded {
+                    id,
+                    attempt,
+                    endpoint,
+                    status,
+                    request_closed,
+                    cached_tokens,
+                    load,
+                },
+            );
+        }
+        self.release_or_remove(now, id);
+    }
+
+    /// Tells other dispatchers what the end of an attempt says of its endpoint.
+    fn share_observations(
+        &mut self,
+        now: Time,
+        endpoint: EndpointId,
+        status: AttemptStatus,
+        load: Option<&LoadReport>,
+    ) {
+        if let Some(load) = load {
             self.share_load(now, endpoint, load);
         }
         if is_endpoint_failure(status) {
             self.share_failure(endpoint);
         }
-        self.drive_router(
-            now,
-            api::Event::AttemptEnded {
-                id,
-                attempt,
-                endpoint,
-                status,
-                request_closed,
-                cached_tokens,
-                load,
-            },
-        );
-        self.release_or_remove(now, id);
     }
 
     /// Records how the client's stream ended, by its complete end or by its break; its client may have disconnected before.
-    fn record_stream_end(
+    fn on_stream_ended(
         &mut self,
         now: Time,
         id: RequestId,
         endpoint: EndpointId,
-        status: AttemptStatus,
+        reason: EndReason,
     ) {
-        if status == AttemptStatus::Served {
-            self.record_outcome(now, id, RecordedOutcome::Served);
+        let status = reason.status();
+        let is_received = self
+            .requests
+            .get(id)
+            .is_some_and(|request| request.is_received);
+        let outcome = match status {
+            AttemptStatus::Served => RecordedOutcome::Served,
+            _ => RecordedOutcome::StreamBroken,
+        };
+        // The recording has no arrival of a request that another process has begun.
+        if !is_received {
+            self.record_outcome(now, id, outcome);
+        }
+        let Some(request) = self.requests.get(id) else {
             return;
+        };
+        if is_received {
+            self.report.log_received_stream_ended(id, request, reason);
         }
-        self.record_outcome(now, id, RecordedOutcome::StreamBroken);
-        if let Some(request) = self.requests.get(id) {
+        if outcome == RecordedOutcome::StreamBroken {
             self.report.log_stream_broken(id, request, endpoint, status);
         }
     }
 }
 
 impl AttemptEnd {
+    pub(super) fn new(
+        id: RequestId,
+        attempt: u32,
+        reason: EndReason,
+        cached_tokens: f64,
+        load: Option<LoadReport>,
+    ) -> Self {
+        AttemptEnd {
+            id,
+            attempt,
+            reason,
+            cached_tokens,
+            load,
+        }
+    }
+
     /// The end of an attempt that the rules forbid.
     fn not_sent(id: RequestId, attempt: u32) -> Self {
         AttemptEnd {
--- a/src/dispatcher/core/requests.rs
+++ b/src/dispatcher/core/requests.rs
@@ -100,9 +100,12 @@
         // A stream that has begun ends at its endpoint when its receiver is dropped, as the client's side does.
         if request.close() {
             request.outcome = None;
+            let is_received = request.is_received;
             self.report.log_client_disconnected(now, id);
-            self.record_outcome(now, id, RecordedOutcome::ClientDisconnected);
-            self.drive_router(now, api::Event::ClientDisconnected { id });
+            if !is_received {
+                self.record_outcome(now, id, RecordedOutcome::ClientDisconnected);
+                self.drive_router(now, api::Event::ClientDisconnected { id });
+            }
         }
         self.release_or_remove(now, id);
     }
--- a/src/dispatcher/endpoint_table.rs
+++ b/src/dispatcher/endpoint_table.rs
@@ -77,6 +77,13 @@
         self.endpoints.get(&endpoint)
     }
 
+    /// The endpoint at this address.
+    pub(super) fn by_address(&self, address: &str) -> Option<EndpointId> {
+        let mut endpoints = self.endpoints.iter();
+        let (number, _) = endpoints.find(|(_, endpoint)| &*endpoint.address == address)?;
+        Some(*number)
+    }
+
     /// How many endpoints there are: those of the list, and removed ones with attempts in flight.
     pub(super) fn len(&self) -> usize {
         self.endpoints.len()
--- a/src/dispatcher/handle.rs
+++ b/src/dispatcher/handle.rs
@@ -3,7 +3,7 @@
 //! The receiver also owns the sending side of what the core publishes: the deployment in force, the ban records, the
 //! readiness and the number of open requests.
 
-use super::messages::{Event, Outcome, Readiness, UpstreamRequest};
+use super::messages::{Event, Outcome, Readiness, ReceivedRequest, UpstreamRequest};
 use super::settings_error::SettingsError;
 use crate::config::Deployment;
 use crate::dispatcher::bans::{BanError, BanRecords};
@@ -36,6 +36,13 @@
     may_have_run: Option<oneshot::Sender<bool>>,
 }
 
+impl PendingRequest {
+    /// The request's number in the core's table.
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+}
+
 impl Drop for PendingRequest {
     fn drop(&mut self) {
         self.handle.send_detached(Event::ClientDisconnected {
@@ -69,6 +76,28 @@
         (pending, outcome)
     }
 
+    /// Adds a stream that another process of this dispatcher has begun to the core's table. Its request is attempt 0 of
+    /// the number that is returned, and ends there as any other does.
+    pub async fn receive_stream(
+        &self,
+        client_request_id: Option<Arc<str>>,
+        address: Option<Arc<str>>,
+    ) -> PendingRequest {
+        let id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
+        let pending = PendingRequest {
+            id,
+            handle: self.clone(),
+            may_have_run: None,
+        };
+        let event = Event::StreamReceived(ReceivedRequest {
+            id,
+            client_request_id,
+            address,
+        });
+        let _ = self.events.send(event).await;
+        pending
+    }
+
     /// Disconnects from a request, waits until it has left the core's table and returns whether it may have run. `None`: that
     /// is not known.
     pub async fn disconnect(&self, mut pending: PendingRequest) -> Option<bool> {
--- a/src/dispatcher/messages.rs
+++ b/src/dispatcher/messages.rs
@@ -5,7 +5,7 @@
 use crate::config::Deployment;
 use crate::dispatcher::bans::{BanError, BanRecords};
 use crate::routing::api::{EndpointId, EndpointRecord, LoadReport, RequestId, RequestMetadata};
-use crate::upgrade::stream_migration::UpstreamHalf;
+use crate::upgrade::stream_migration::{ReceivedUpstream, UpstreamHalf};
 use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,10 +29,35 @@
     Data(Bytes),
     /// The stream is complete.
     End,
-    /// The stream continues in another process: the frontend migrates this half, or drops it.
+    /// The stream is to continue in another process: the frontend migrates this half, or drops it.
     Migrate(UpstreamHalf),
 }
 
+/// How many chunks of a stream may wait for a slow client before no more is read from its endpoint.
+pub const MAX_QUEUED_CHUNKS: usize = 4;
+
+/// The request of a stream that another process has begun.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    /// The request, with the number that the handle assigned.
+    pub id: RequestId,
+    /// The id that the client chose, where it is known.
+    pub client_request_id: Option<Arc<str>>,
+    /// The address of the endpoint that streams, where it is known.
+    pub address: Option<Arc<str>>,
+}
+
+/// The attempt of a stream that another process has begun: the backend goes on with it.
+#[derive(Debug)]
+pub struct ReceivedAttempt {
+    /// The request in the core's table.
+    pub id: RequestId,
+    /// The upstream side of the stream.
+    pub upstream: ReceivedUpstream,
+    /// Where the stream goes.
+    pub chunks: mpsc::Sender<StreamChunk>,
+}
+
 /// The final outcome of a request; there is one for each.
 #[derive(Debug)]
 pub enum Outcome {
@@ -77,6 +102,9 @@
         /// Receives the outcome.
         outcome: oneshot::Sender<Outcome>,
     },
+    /// A stream that another process of this dispatcher has begun goes on here. It is a request in the table from now on,
+    /// whose first attempt is this stream.
+    StreamReceived(ReceivedRequest),
     /// The client has disconnected, or its [`PendingRequest`](super::PendingRequest) was dropped after the end.
     ClientDisconnected {
         /// The request.
--- a/src/dispatcher/reasons.rs
+++ b/src/dispatcher/reasons.rs
@@ -9,6 +9,8 @@
 pub enum EndReason {
     /// A decode endpoint's stream is complete.
     Served,
+    /// A decode endpoint's stream goes on in another process of this dispatcher.
+    Migrated,
     /// A prefill endpoint has processed the prompt.
     PrefillDone,
     /// The endpoint was overloaded or draining, and reports that the request did not run.
@@ -53,7 +55,7 @@
     /// The status that the router receives.
     pub fn status(self) -> AttemptStatus {
         match self {
-            EndReason::Served => AttemptStatus::Served,
+            EndReason::Served | EndReason::Migrated => AttemptStatus::Served,
             EndReason::PrefillDone => AttemptStatus::PrefillDone,
             EndReason::Overloaded => AttemptStatus::Overloaded,
             EndReason::KvStateMissing => AttemptStatus::KvStateMissing,
@@ -97,6 +99,7 @@
         matches!(
             self,
             EndReason::Served
+                | EndReason::Migrated
                 | EndReason::PrefillDone
                 | EndReason::Overloaded
                 | EndReason::KvStateMissing
@@ -143,6 +146,7 @@
         matches!(
             self,
             EndReason::Served
+                | EndReason::Migrated
                 | EndReason::PrefillDone
                 | EndReason::Cancelled
                 | EndReason::ClientDisconnected
--- a/src/dispatcher/report.rs
+++ b/src/dispatcher/report.rs
@@ -29,6 +29,8 @@
     Retry(EndReason),
     /// A request was closed without a stream.
     Close(CloseReason),
+    /// A stream was received from another process.
+    StreamReceived,
     /// Endpoints are told to release what they reserve.
     Release(ReleaseReason),
     /// No endpoint confirmed a release in time.
--- a/src/dispatcher/report/log_lines.rs
+++ b/src/dispatcher/report/log_lines.rs
@@ -68,6 +68,29 @@
             "endpoint" => endpoint, "status" => ?status);
     }
 
+    pub(crate) fn log_stream_received(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        request: &Request,
+        endpoint: EndpointId,
+    ) {
+        self.count(now, Counter::StreamReceived);
+        debug!(self.log, "stream resumed"; "id" => id, "client_request_id" => %request.upstream.client_request_id,
+            "endpoint" => endpoint);
+    }
+
+    /// The end of a stream that another process has begun, whatever it is: the two logs together tell its whole way.
+    pub(crate) fn log_received_stream_ended(
+        &self,
+        id: RequestId,
+        request: &Request,
+        reason: EndReason,
+    ) {
+        info!(self.log, "received stream ended"; "id" => id,
+            "client_request_id" => %request.upstream.client_request_id, "reason" => ?reason);
+    }
+
     pub(crate) fn log_release_started(
         &mut self,
         now: Time,
--- a/src/dispatcher/request.rs
+++ b/src/dispatcher/request.rs
@@ -8,8 +8,12 @@
 use super::reservation::{Reservation, ReservationDemand};
 use crate::routing::api::{EndpointId, Idempotency, RequestMetadata, Role, Time};
 use bytes::Bytes;
+use std::sync::Arc;
 use tokio::sync::oneshot;
 
+/// The class of requests that another process has begun, which is not known; no class has this number.
+const RECEIVED_CLASS: usize = usize::MAX;
+
 /// One attempt for a request.
 pub(super) struct Attempt {
     pub endpoint: EndpointId,
@@ -69,6 +73,8 @@
     pub may_have_run: bool,
     /// Receives `may_have_run` when the request leaves the table.
     pub may_have_run_reply: Option<oneshot::Sender<bool>>,
+    /// Another process of this dispatcher has begun its stream.
+    pub is_received: bool,
     phase: Phase,
 }
 
@@ -98,10 +104,32 @@
             reservation: Reservation::default(),
             may_have_run: false,
             may_have_run_reply: None,
+            is_received: false,
             phase: Phase::Waiting,
         }
     }
 
+    /// A request whose stream another process has begun, and that ends with it.
+    pub(super) fn received(now: Time, client_request_id: Arc<str>, endpoint: EndpointId) -> Self {
+        Request {
+            class: RECEIVED_CLASS,
+            upstream: UpstreamRequest {
+                client_request_id,
+                target: "".into(),
+                body: Bytes::new(),
+            },
+            must_not_repeat: true,
+            outcome: None,
+            deadline: now,
+            attempts: vec![Attempt::new(now, endpoint, None)],
+            reservation: Reservation::default(),
+            may_have_run: false,
+            may_have_run_reply: None,
+            is_received: true,
+            phase: Phase::Streaming { attempt: 0 },
+        }
+    }
+
     pub(super) fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(Attempt::is_in_flight)
     }
--- a/src/frontend/admission.rs
+++ b/src/frontend/admission.rs
@@ -59,6 +59,20 @@
         &self.shutdown
     }
 
+    /// Whether streams are to migrate to another process now.
+    pub(super) fn is_migration_due(&self) -> bool {
+        let sender = self.migration_sender.as_ref();
+        sender.is_some_and(|sender| sender.signal.is_due())
+    }
+
+    /// Waits until it changes whether streams are to migrate to another process.
+    pub(super) async fn migration_due_changed(&mut self) {
+        match &mut self.migration_sender {
+            Some(sender) => sender.signal.changed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     pub(super) fn migration_sender(&self) -> &MigrationSender {
         &self.migration_sender
     }
@@ -90,6 +104,19 @@
         self.connections.remove(&task);
     }
 
+    /// A permit for a connection that another process has handed over. Where it is beyond the limit, an idle connection is
+    /// closed for it.
+    pub(super) fn acquire_for_received(&self) -> Option<ConnectionPermit> {
+        let connection_limit = &self.listener_state.connection_limit;
+        let permit = connection_limit.acquire_beyond_limit();
+        if connection_limit.over_limit() > 0 {
+            if let Some((_, client)) = self.first_replaceable() {
+                client.request_close();
+            }
+        }
+        permit
+    }
+
     /// A permit if one is free now.
     pub(super) fn try_acquire_permit(&self) -> Option<ConnectionPermit> {
         self.listener_state.connection_limit.try_acquire(1)
--- a/src/frontend/client_socket.rs
+++ b/src/frontend/client_socket.rs
@@ -2,10 +2,15 @@
 //!
 //! hyper reads on only after it has used up all that it was given, and would otherwise not notice that the client has
 //! disconnected. So bytes that arrive behind a request in flight are buffered here, where the end of the stream is seen.
+//!
+//! A connection whose stream another process has begun is served by hyper as any other: hyper is given a request of this
+//! program's own, and the head that it writes for the response is discarded, as the other process has sent one.
 
 use super::admission::ListenerState;
 use super::connection::ClientConnection;
-use bytes::BytesMut;
+use super::discarded_head::DiscardedHead;
+use crate::upgrade::stream_migration::ConnectionState;
+use bytes::{Buf, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::future::Future;
 use std::io;
@@ -31,6 +36,12 @@
 /// Bytes read at once while a connection lingers.
 const LINGER_READ_BYTES: usize = 4096;
 
+/// So many bytes of a response may wait here for a client that reads slowly, so that they can go along when its stream
+/// migrates. More is left to hyper, and so to the endpoint's back-pressure.
+const MAX_UNSENT_BYTES: usize = 256 * 1024;
+/// What hyper reads first on a connection whose stream another process has begun.
+const RESUMING_REQUEST: &[u8] = b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+
 /// What remains of the time and the bytes for a connection that lingers.
 struct Linger {
     timer: Pin<Box<Sleep>>,
@@ -43,6 +54,10 @@
     client: Arc<ClientConnection>,
     /// What has arrived behind the request in flight.
     pipelined: BytesMut,
+    /// What hyper has written of a response and the socket has not taken.
+    unsent: BytesMut,
+    /// The head of a response that is not sent.
+    discarded_head: Option<DiscardedHead>,
     /// Whether the client has ended its sending, so that nothing comes behind `pipelined`.
     has_ended: bool,
     listener_state: ListenerState,
@@ -61,6 +76,8 @@
             stream,
             client,
             pipelined: BytesMut::new(),
+            unsent: BytesMut::new(),
+            discarded_head: None,
             has_ended: false,
             listener_state,
             linger: None,
@@ -68,6 +85,54 @@
         }
     }
 
+    /// Goes on from where another process has left the connection, in the middle of a response.
+    pub(super) fn resume(mut self, state: &ConnectionState) -> Self {
+        self.pipelined.extend_from_slice(RESUMING_REQUEST);
+        self.pipelined.extend_from_slice(&state.pipelined);
+        self.unsent.extend_from_slice(&state.unsent);
+        self.discarded_head = Some(DiscardedHead::default());
+        self
+    }
+
+    /// The state in which another process can go on with the connection.
+    fn state(&self) -> ConnectionState {
+        ConnectionState {
+            unsent: self.unsent.clone().freeze(),
+            pipelined: self.pipelined.clone().freeze(),
+            closes: self.client.closes_after_response(),
+        }
+    }
+
+    /// Whether another process may own the socket at this moment.
+    fn is_frozen(&self) -> bool {
+        self.client.migration_slot().is_frozen()
+    }
+
+    /// Writes what waits here for the client. Ready when nothing does.
+    fn poll_unsent(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.unsent.is_empty() {
+            let written = Pin::new(&mut self.stream).poll_write(context, &self.unsent);
+            self.client.on_write_polled(&written);
+            let written_bytes = ready!(written)?;
+            if written_bytes == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.unsent.advance(written_bytes);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Takes bytes that the socket does not take, where the stream is to migrate: hyper then comes to the stream's offer
+    /// although its client reads slowly.
+    fn buffer_for_migration(&mut self, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let has_room = self.unsent.len() + bytes.len() <= MAX_UNSENT_BYTES;
+        if !has_room || !self.listener_state.is_migration_due() {
+            return Poll::Pending;
+        }
+        self.unsent.extend_from_slice(bytes);
+        Poll::Ready(Ok(bytes.len()))
+    }
+
     /// Ready when the client has disconnected, whatever bytes are unread before that; checks at intervals.
     fn poll_hangup(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
@@ -95,6 +160,7 @@
             ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
             self.has_ended = buffer.filled().is_empty();
             self.pipelined.extend_from_slice(buffer.filled());
+            self.client.set_has_pipelined(!self.pipelined.is_empty());
         }
         Poll::Ready(Ok(()))
     }
@@ -112,6 +178,7 @@
         let request_end = start + request_bytes;
         self.pipelined
             .extend_from_slice(&buffer.filled()[request_end..]);
+        self.client.set_has_pipelined(!self.pipelined.is_empty());
         buffer.set_filled(request_end);
         Poll::Ready(Ok(()))
     }
@@ -124,6 +191,7 @@
         }
         let request_bytes = self.client.on_bytes_received(&self.pipelined[..readable]);
         buffer.put_slice(&self.pipelined.split_to(request_bytes));
+        self.client.set_has_pipelined(!self.pipelined.is_empty());
     }
 }
 
@@ -142,6 +210,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.is_frozen() {
+            return Poll::Pending; // polled again when the stream goes on here
+        }
         if self.client.is_response_pending(context) {
             return self.poll_pipelined(context);
         }
@@ -159,22 +230,48 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.client.on_write_polled(&written);
+        let this = &mut *self;
+        if let Some(head) = &mut this.discarded_head {
+            let discarded_bytes = head.feed(bytes);
+            if head.has_ended() {
+                this.discarded_head = None;
+            }
+            return Poll::Ready(Ok(discarded_bytes));
+        }
+        if this.is_frozen() {
+            return Poll::Pending; // polled again when the stream goes on here
+        }
+        if this.poll_unsent(context)?.is_pending() {
+            return this.buffer_for_migration(bytes);
+        }
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.client.on_write_polled(&written);
+        if written.is_pending() {
+            return this.buffer_for_migration(bytes);
+        }
         written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(context);
-        if flushed.is_ready() {
-            self.client.migration_slot().on_flushed(&self.stream);
+        let this = &mut *self;
+        if this.is_frozen() {
+            return Poll::Ready(Ok(()));
         }
-        flushed
+        if this.poll_unsent(context)?.is_pending() && !this.listener_state.is_migration_due() {
+            return Poll::Pending;
+        }
+        ready!(Pin::new(&mut this.stream).poll_flush(context))?;
+        let slot = this.client.migration_slot();
+        slot.on_flushed(&this.stream, || this.state());
+        Poll::Ready(Ok(()))
     }
 
     /// Ends the sending, and then discards what still arrives, up to the client's end or for a bounded time.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(this.poll_unsent(context))?;
+        }
         let linger = match &mut this.linger {
             Some(linger) => linger,
             None => {
@@ -213,8 +310,18 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let first = slices.iter().find(|slice| !slice.is_empty());
+        let first = first.map_or(&[][..], |slice| slice);
+        let is_direct =
+            self.discarded_head.is_none() && self.unsent.is_empty() && !self.is_frozen();
+        if !is_direct {
+            return self.poll_write(context, first);
+        }
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.client.on_write_polled(&written);
+        if written.is_pending() {
+            return self.buffer_for_migration(first);
+        }
         written
     }
 }
--- a/src/frontend/connection.rs
+++ b/src/frontend/connection.rs
@@ -6,7 +6,7 @@
 use super::ShutdownPhase;
 use crate::net::message_framing::RequestFraming;
 use crate::upgrade::stream_migration::SharedMigrationSlot;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -65,6 +65,10 @@
     /// Wakes the task that reads on when the response in flight is complete.
     read_waker: Mutex<Option<Waker>>,
     migration_slot: SharedMigrationSlot,
+    /// The client was told that the connection ends with the response in flight.
+    closes_after_response: AtomicBool,
+    /// A further request, or its beginning, has been read behind the one in flight.
+    has_pipelined: AtomicBool,
     /// Notified when a time limit may have changed.
     limits_changed: Notify,
     close_requested: Notify,
@@ -79,6 +83,8 @@
             completed_responses: AtomicU64::new(0),
             read_waker: Mutex::default(),
             migration_slot: SharedMigrationSlot::default(),
+            closes_after_response: AtomicBool::new(false),
+            has_pipelined: AtomicBool::new(false),
             limits_changed: Notify::new(),
             close_requested: Notify::new(),
         })
@@ -116,6 +122,27 @@
         &self.migration_slot
     }
 
+    /// Records that the client is told that the connection ends with the response in flight.
+    pub(super) fn set_closes_after_response(&self) {
+        self.closes_after_response.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the client was told that the connection ends with the response in flight.
+    pub(super) fn closes_after_response(&self) -> bool {
+        self.closes_after_response.load(Ordering::Relaxed)
+    }
+
+    /// Records whether bytes of a further request have been read behind the one in flight.
+    pub(super) fn set_has_pipelined(&self, has_pipelined: bool) {
+        self.has_pipelined.store(has_pipelined, Ordering::Relaxed);
+    }
+
+    /// Whether the connection owes an answer beyond the one in flight: a request that was read is answered, also where
+    /// the client sent it before the first response has ended.
+    fn owes_further_response(&self) -> bool {
+        self.has_pipelined.load(Ordering::Relaxed) && !self.closes_after_response()
+    }
+
     /// Asks the connection to close, which it does if it is still replaceable.
     pub(super) fn request_close(&self) {
         self.close_requested.notify_one();
@@ -209,6 +236,9 @@
             tokio::task::yield_now().await;
             let PhaseState { phase, since } = *self.phase_state();
             match phase {
+                ConnectionPhase::RequestInFlight if self.owes_further_response() => {
+                    sleep(SHUTDOWN_POLL_INTERVAL).await;
+                }
                 ConnectionPhase::Idle | ConnectionPhase::RequestInFlight => return,
                 ConnectionPhase::New if since.elapsed() >= REPLACEABLE_SILENT_TIME => return,
                 ConnectionPhase::New | ConnectionPhase::ReadingHead => {
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -3,12 +3,15 @@
 //! It owns no state beyond the request that it serves; header names and response texts are the platform's.
 
 use crate::config::{micros, Deployment};
-use crate::dispatcher::{DispatcherHandle, Outcome, PendingRequest, StreamChunk, UpstreamRequest};
+use crate::dispatcher::{
+    DispatcherHandle, Outcome, PendingRequest, ReceivedAttempt, StreamChunk, UpstreamRequest,
+    MAX_QUEUED_CHUNKS,
+};
 use crate::frontend::health_check::ready;
 use crate::frontend::identifiers::{is_name, parse_key};
 use crate::frontend::memory_budget::{BodyMemoryBudget, MAX_BODY_BYTES};
 use crate::routing::api::RequestMetadata;
-use crate::upgrade::stream_migration::SharedMigrationSlot;
+use crate::upgrade::stream_migration::{ReceivedUpstream, SharedMigrationSlot};
 use crate::variants::{breaks, Variant};
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -248,6 +251,7 @@
         }
     };
     let migration_slot = head.extensions.get::<SharedMigrationSlot>().cloned();
+    let stream_request_id = client_request_id.clone();
     let target = match head.uri.path_and_query() {
         Some(target) => target.as_str(),
         None => "/",
@@ -265,6 +269,7 @@
             chunks,
             state: StreamState::Open,
             migration_slot,
+            client_request_id: Some(stream_request_id),
             _pending_request: pending_request,
         }),
         Ok(Outcome::Shed { retry_after }) => shed_response(retry_after),
@@ -279,6 +284,48 @@
     }
 }
 
+/// Goes on with streams that another process of this dispatcher has begun.
+#[derive(Clone)]
+pub struct StreamResumer {
+    /// Counts the streams among the open requests.
+    pub dispatcher: DispatcherHandle,
+    /// Gives their upstream side to the backend.
+    pub attempts: mpsc::Sender<ReceivedAttempt>,
+}
+
+impl StreamResumer {
+    /// The response that goes on with a stream. Its connection writes it as any other, but for the head, which the other
+    /// process has sent.
+    pub(super) async fn resume(
+        &self,
+        upstream: ReceivedUpstream,
+        client_request_id: Option<Arc<str>>,
+        migration_slot: SharedMigrationSlot,
+    ) -> Response {
+        let address = upstream.socket.peer_addr().ok();
+        let address = address.map(|address| address.to_string().into());
+        let pending_request = self
+            .dispatcher
+            .receive_stream(client_request_id.clone(), address)
+            .await;
+        let (chunk_sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let attempt = ReceivedAttempt {
+            id: pending_request.id(),
+            upstream,
+            chunks: chunk_sender,
+        };
+        // Where the backend has ended, the process ends, too; the response then ends as a broken one.
+        let _ = self.attempts.send(attempt).await;
+        stream_response(ResponseStream {
+            chunks,
+            state: StreamState::Open,
+            migration_slot: Some(migration_slot),
+            client_request_id,
+            _pending_request: pending_request,
+        })
+    }
+}
+
 fn stream_response(stream: ResponseStream) -> Response {
     (
         [
@@ -305,6 +352,7 @@
     chunks: mpsc::Receiver<StreamChunk>,
     state: StreamState,
     migration_slot: Option<SharedMigrationSlot>,
+    client_request_id: Option<Arc<str>>,
     _pending_request: PendingRequest,
 }
 
@@ -325,7 +373,9 @@
             Poll::Ready(Some(StreamChunk::Migrate(half))) => {
                 // No chunk comes until the stream is migrated, or continues here.
                 match &self.migration_slot {
-                    Some(migration_slot) => migration_slot.offer(half),
+                    Some(migration_slot) => {
+                        migration_slot.offer(half, self.client_request_id.clone());
+                    }
                     None => drop(half),
                 }
                 self.poll_frame(context)
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -1,28 +1,56 @@
-//! Accepts connections from clients, up to a limit, and ends them in order at the shutdown.
+//! Accepts connections from clients, up to a limit, takes those that another process hands over, and ends them in order at
+//! the shutdown.
 //!
 //! Silent and slow clients lose their connection in time, and at the limit an idle one is closed for a new one, so that
 //! nobody can lock the others out.
 
 use super::admission::{Admission, ListenerState};
 use super::connection::ClientConnection;
-use super::request_service::serve_connection;
+use super::http::StreamResumer;
+use super::request_service::{serve_connection, ResumedConnection};
 use super::ShutdownPhase;
 use crate::net::connection_limit::{ConnectionLimit, ConnectionPermit};
 use crate::net::system_errors::AcceptPauses;
-use crate::upgrade::stream_migration::MigrationSender;
+use crate::upgrade::stream_migration::{MigrationSender, ReceivedStream};
 use axum::Router;
 use futures_util::FutureExt;
 use slog::{info, warn, Logger};
+use std::io;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+/// What a clients' listener has to do with other processes of its dispatcher.
+pub struct PeerStreams {
+    /// Where streams are sent that migrate to another process.
+    pub migration: MigrationSender,
+    /// The streams of other processes. Whoever has a place in this queue when it is closed may still use it.
+    pub received: mpsc::Receiver<ReceivedStream>,
+    /// Goes on with received streams; `None` where there are none.
+    pub resumer: Option<StreamResumer>,
+    /// Whether new connections are accepted. Received streams are served before that, too.
+    pub accepts: watch::Receiver<bool>,
+}
+
+impl PeerStreams {
+    /// For a listener of a process that is alone.
+    fn none() -> PeerStreams {
+        PeerStreams {
+            migration: None,
+            received: mpsc::channel(1).1,
+            resumer: None,
+            accepts: watch::channel(true).1,
+        }
+    }
+}
+
 /// The connections of a listener and their tasks.
 struct ConnectionTasks {
     admission: Admission,
     tasks: JoinSet<()>,
     routes: Router,
+    resumer: Option<StreamResumer>,
 }
 
 impl ConnectionTasks {
@@ -34,6 +62,7 @@
             client.clone(),
             self.routes.clone(),
             self.admission.listener_state().clone(),
+            None,
         );
         let task = self.tasks.spawn(async move {
             serving.await;
@@ -42,6 +71,39 @@
         self.admission.add(task.id(), client);
     }
 
+    /// Goes on with a connection that another process has handed over, as with one that was accepted here.
+    fn spawn_received(&mut self, stream: ReceivedStream) {
+        let Some(resumer) = self.resumer.clone() else {
+            return;
+        };
+        let permit = self.admission.acquire_for_received();
+        let client = ClientConnection::new();
+        let served_client = client.clone();
+        let routes = self.routes.clone();
+        let listener_state = self.admission.listener_state().clone();
+        let task = self.tasks.spawn(async move {
+            let slot = served_client.migration_slot().clone();
+            let client_request_id = stream.client_state.client_request_id;
+            let response = resumer
+                .resume(stream.upstream, client_request_id, slot)
+                .await;
+            let resumed = ResumedConnection {
+                state: stream.client_state.connection,
+                response,
+            };
+            serve_connection(
+                stream.client,
+                served_client,
+                routes,
+                listener_state,
+                Some(resumed),
+            )
+            .await;
+            drop(permit);
+        });
+        self.admission.add(task.id(), client);
+    }
+
     fn remove_finished(&mut self) {
         while let Some(finished) = self.tasks.try_join_next_with_id() {
             let task = match finished {
@@ -51,28 +113,81 @@
             self.admission.remove(task);
         }
     }
+
+    /// Serves received streams until all connections have ended and no stream can come any more. The queue is closed only
+    /// while no connection is open, so that this process takes streams for as long as it has others to end.
+    async fn finish(&mut self, received: &mut mpsc::Receiver<ReceivedStream>) {
+        loop {
+            tokio::select! {
+                biased;
+                Some(stream) = received.recv() => self.spawn_received(stream),
+                ended = self.tasks.join_next() => {
+                    if ended.is_none() {
+                        break;
+                    }
+                }
+            }
+        }
+        received.close();
+        while let Some(stream) = received.recv().await {
+            self.spawn_received(stream);
+        }
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+/// What a listener takes next.
+enum Incoming {
+    Accepted(Option<ConnectionPermit>, io::Result<TcpStream>),
+    Received(ReceivedStream),
 }
 
 /// Serves clients, up to `connection_limit` connections at once. While the dispatcher drains, no new ones are accepted;
-/// when it closes, idle ones are closed, and this returns when all have ended. Streams to be migrated go to
-/// `migration_sender`.
+/// when it closes, idle ones are closed, and this returns when all have ended.
 pub async fn serve(
+    listener: TcpListener,
+    routes: Router,
+    connection_limit: ConnectionLimit,
+    shutdown: watch::Receiver<ShutdownPhase>,
+    log: Logger,
+) {
+    let streams = PeerStreams::none();
+    serve_beside_peers(listener, routes, connection_limit, shutdown, streams, log).await;
+}
+
+/// The same, for a process that may have others beside it: streams come from there and go there.
+pub async fn serve_beside_peers(
     listener: TcpListener,
     routes: Router,
     connection_limit: ConnectionLimit,
     mut shutdown: watch::Receiver<ShutdownPhase>,
-    migration_sender: MigrationSender,
+    streams: PeerStreams,
     log: Logger,
 ) {
-    let listener_state = ListenerState::new(connection_limit, shutdown.clone(), migration_sender);
+    let PeerStreams {
+        migration,
+        mut received,
+        resumer,
+        mut accepts,
+    } = streams;
+    let listener_state = ListenerState::new(connection_limit, shutdown.clone(), migration);
     let mut connections = ConnectionTasks {
         admission: Admission::new(listener_state),
         tasks: JoinSet::new(),
         routes,
+        resumer,
     };
-    accept_until_draining(&listener, &mut connections, shutdown.clone(), &log).await;
-    if *shutdown.borrow() == ShutdownPhase::Closing {
-        // No successor accepts the connections that are in the queue already.
+    let mut incoming = IncomingConnections {
+        listener: &listener,
+        received: &mut received,
+        accepts: &mut accepts,
+        log: &log,
+    };
+    incoming
+        .serve_until_draining(&mut connections, shutdown.clone())
+        .await;
+    if *shutdown.borrow() == ShutdownPhase::Closing && *accepts.borrow() {
+        // No other process accepts the connections that are in the queue already.
         while let Some(permit) = connections.admission.try_acquire_permit() {
             let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
                 break;
@@ -82,42 +197,77 @@
     }
     drop(listener);
     info!(log, "listener closed"; "open_connections" => connections.tasks.len());
-    let _ = shutdown
-        .wait_for(|phase| *phase == ShutdownPhase::Closing)
-        .await;
-    while connections.tasks.join_next().await.is_some() {}
-}
-
-async fn accept_until_draining(
-    listener: &TcpListener,
-    connections: &mut ConnectionTasks,
-    mut shutdown: watch::Receiver<ShutdownPhase>,
-    log: &Logger,
-) {
-    let mut pauses = AcceptPauses::default();
+    let mut closing = std::pin::pin!(shutdown.wait_for(|phase| *phase == ShutdownPhase::Closing));
     loop {
-        connections.remove_finished();
-        let (permit, accepted) = tokio::select! {
+        tokio::select! {
             biased;
-            _ = shutdown.wait_for(|phase| *phase > ShutdownPhase::Serving) => return,
-            accepted = async {
-                let permit = connections.admission.acquire_permit().await;
-                (permit, listener.accept().await)
-            } => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                let pause = pauses.delay_after(&error);
-                warn!(log, "accept failed"; "error" => %error, "pause_ms" => pause.as_millis() as u64);
-                sleep(pause).await;
-                continue;
+            _ = closing.as_mut() => break,
+            Some(stream) = received.recv() => connections.spawn_received(stream),
+        }
+    }
+    connections.finish(&mut received).await;
+}
+
+/// Where a listener's connections come from.
+struct IncomingConnections<'a> {
+    listener: &'a TcpListener,
+    received: &'a mut mpsc::Receiver<ReceivedStream>,
+    accepts: &'a mut watch::Receiver<bool>,
+    log: &'a Logger,
+}
+
+impl IncomingConnections<'_> {
+    async fn serve_until_draining(
+        &mut self,
+        connections: &mut ConnectionTasks,
+        mut shutdown: watch::Receiver<ShutdownPhase>,
+    ) {
+        let mut pauses = AcceptPauses::default();
+        loop {
+            connections.remove_finished();
+            let incoming = tokio::select! {
+                biased;
+                _ = shutdown.wait_for(|phase| *phase > ShutdownPhase::Serving) => return,
+                incoming = self.next(connections) => incoming,
+            };
+            let (permit, accepted) = match incoming {
+                Incoming::Accepted(permit, accepted) => (permit, accepted),
+                Incoming::Received(stream) => {
+                    connections.spawn_received(stream);
+                    continue;
+                }
+            };
+            let stream = match accepted {
+                Ok(stream) => stream,
+                Err(error) => {
+                    let pause = pauses.delay_after(&error);
+                    warn!(self.log, "accept failed"; "error" => %error, "pause_ms" => pause.as_millis() as u64);
+                    sleep(pause).await;
+                    continue;
+                }
+            };
+            let Some(permit) = permit else {
+                return;
+            };
+            pauses.reset();
+            connections.spawn(stream, permit);
+        }
+    }
+
+    async fn next(&mut self, connections: &ConnectionTasks) -> Incoming {
+        let accept = async {
+            // Where the sender is gone, nothing will change any more.
+            if self.accepts.wait_for(|accepts| *accepts).await.is_err() {
+                std::future::pending::<()>().await;
             }
+            let permit = connections.admission.acquire_permit().await;
+            let accepted = self.listener.accept().await;
+            Incoming::Accepted(permit, accepted.map(|(stream, _)| stream))
         };
-        let Some(permit) = permit else {
-            return;
-        };
-        pauses.reset();
-        connections.spawn(stream, permit);
+        tokio::select! {
+            biased;
+            Some(stream) = self.received.recv() => Incoming::Received(stream),
+            incoming = accept => incoming,
+        }
     }
 }
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod client_socket;
 mod connection;
+mod discarded_head;
 pub mod health_check;
 pub mod http;
 pub mod identifiers;
--- a/src/frontend/request_service.rs
+++ b/src/frontend/request_service.rs
@@ -4,8 +4,9 @@
 use super::client_socket::{ClientSocket, READ_BUFFER_BYTES};
 use super::connection::{ClientConnection, ConnectionPhase};
 use crate::net::message_framing::DeclaredBody;
+use crate::upgrade::stream_migration::ConnectionState;
 use axum::body::Body;
-use axum::http::{header, HeaderValue, StatusCode};
+use axum::http::{header, HeaderValue, StatusCode, Version};
 use axum::response::{IntoResponse, Response};
 use axum::Router;
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::pin::{pin, Pin};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tower_service::Service;
@@ -74,61 +75,130 @@
         .into_response()
 }
 
-/// Serves one request. An ambiguous body is rejected on every route.
-async fn respond(
-    mut routes: Router,
+/// What serves the requests of one connection.
+#[derive(Clone)]
+struct RequestService {
+    routes: Router,
     listener_state: ListenerState,
     client: Arc<ClientConnection>,
-    mut request: Request<Incoming>,
-) -> Response {
-    let declared_body = client.framing().next_head();
-    client.set_phase(ConnectionPhase::RequestInFlight);
-    let open_request = OpenRequest(client.clone());
-    request
-        .extensions_mut()
-        .insert(client.migration_slot().clone());
-    let mut response = if has_ambiguous_body(&request, declared_body) {
-        reject_ambiguous_body()
-    } else {
-        match routes.call(request).await {
-            Ok(response) => response,
-            Err(never) => match never {},
+    /// The response that another process has begun, up to the first request.
+    resumed_response: Arc<Mutex<Option<Response>>>,
+}
+
+impl RequestService {
+    /// Serves one request.
+    async fn respond(self, request: Request<Incoming>) -> Response {
+        let declared_body = self.client.framing().next_head();
+        self.client.set_phase(ConnectionPhase::RequestInFlight);
+        let open_request = OpenRequest(self.client.clone());
+        let resumed_response = self
+            .resumed_response
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let response = match resumed_response {
+            Some(response) => self.end_resumed_connection_if_told(response),
+            None => self.respond_by_route(request, declared_body).await,
+        };
+        response.map(|body| {
+            Body::new(TrackedBody {
+                body,
+                _open_request: open_request,
+            })
+        })
+    }
+
+    /// The client was told by the other process, or was not, how the connection goes on: the head is not sent again.
+    fn end_resumed_connection_if_told(&self, mut response: Response) -> Response {
+        if self.client.closes_after_response() {
+            set_connection_close(&mut response);
         }
-    };
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        client.framing().stop();
-    } else if listener_state.is_full() || listener_state.is_shutting_down() {
         response
-            .headers_mut()
-            .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| {
-        Body::new(TrackedBody {
-            body,
-            _open_request: open_request,
-        })
-    })
+
+    /// Serves a request of the client's. An ambiguous body is rejected on every route.
+    async fn respond_by_route(
+        mut self,
+        mut request: Request<Incoming>,
+        declared_body: Option<DeclaredBody>,
+    ) -> Response {
+        // Streams to older clients have no chunks, and can't go on elsewhere.
+        if request.version() == Version::HTTP_11 {
+            let slot = self.client.migration_slot().clone();
+            request.extensions_mut().insert(slot);
+        }
+        if asks_for_close(&request) {
+            self.client.set_closes_after_response();
+        }
+        let mut response = if has_ambiguous_body(&request, declared_body) {
+            reject_ambiguous_body()
+        } else {
+            match self.routes.call(request).await {
+                Ok(response) => response,
+                Err(never) => match never {},
+            }
+        };
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            self.client.framing().stop();
+        } else if self.listener_state.is_full() || self.listener_state.is_shutting_down() {
+            set_connection_close(&mut response);
+        }
+        if response.headers().contains_key(header::CONNECTION) {
+            self.client.set_closes_after_response();
+        }
+        response
+    }
+}
+
+fn set_connection_close(response: &mut Response) {
+    response
+        .headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Whether the client wants the connection to end with the response.
+fn asks_for_close(request: &Request<Incoming>) -> bool {
+    let connection = request.headers().get(header::CONNECTION);
+    let connection = connection.and_then(|value| value.to_str().ok());
+    connection.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
 }
 
-/// Serves a connection until it ends, expires, or is migrated.
+/// A connection in the middle of a response that another process has begun.
+pub(super) struct ResumedConnection {
+    /// Where the other process has left it.
+    pub state: ConnectionState,
+    /// What goes on with the response.
+    pub response: Response,
+}
+
+/// Serves a connection until it ends, expires, or is migrated. `resumed`: another process has begun it.
 pub(super) async fn serve_connection(
     stream: TcpStream,
     client: Arc<ClientConnection>,
     routes: Router,
-    listener_state: ListenerState,
+    mut listener_state: ListenerState,
+    resumed: Option<ResumedConnection>,
 ) {
     let _ = stream.set_nodelay(true);
     let mut shutdown = listener_state.shutdown().clone();
     let migration_sender = listener_state.migration_sender().clone();
-    let socket = ClientSocket::new(stream, client.clone(), listener_state.clone());
-    let service_client = client.clone();
+    let mut socket = ClientSocket::new(stream, client.clone(), listener_state.clone());
+    let mut resumed_response = None;
+    if let Some(ResumedConnection { state, response }) = resumed {
+        if state.closes {
+            client.set_closes_after_response();
+        }
+        socket = socket.resume(&state);
+        resumed_response = Some(response);
+    }
+    let service = RequestService {
+        routes,
+        listener_state: listener_state.clone(),
+        client: client.clone(),
+        resumed_response: Arc::new(Mutex::new(resumed_response)),
+    };
     let service = service_fn(move |request| {
-        let response = respond(
-            routes.clone(),
-            listener_state.clone(),
-            service_client.clone(),
-            request,
-        );
+        let response = service.clone().respond(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
@@ -137,10 +207,11 @@
         .max_buf_size(READ_BUFFER_BYTES);
     let connection = http.serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection.with_upgrades());
+    let mut migration = pin!(client.migration_slot().migrate(&migration_sender));
     let mut is_closing = false;
     loop {
         tokio::select! {
-            // First, so that it does not come between a migration and its end.
+            // In this order, so that a close does not come between a migration and its end.
             biased;
             () = client.wait_until_closable(&mut shutdown), if !is_closing => {
                 is_closing = true;
@@ -148,12 +219,15 @@
             }
             _ = connection.as_mut() => return,
             () = client.wait_until_expired() => return,
-            // The socket is dropped without a shutdown: the successor process has it too.
-            is_migrated = client.migration_slot().migrate(&migration_sender) => {
+            // The socket is dropped without a shutdown: another process has it, too.
+            is_migrated = migration.as_mut() => {
                 if is_migrated {
                     return;
                 }
+                migration.set(client.migration_slot().migrate(&migration_sender));
             }
+            // The next turn of the loop polls the connection, whose socket then buffers what its client does not take.
+            () = listener_state.migration_due_changed() => {}
         }
     }
 }
--- a/src/net/connection_limit.rs
+++ b/src/net/connection_limit.rs
@@ -8,6 +8,9 @@
 /// The limits of a dispatcher are divided among its processes in so many units.
 pub const SHARE_UNITS: u32 = 16;
 
+/// More permits than this are never in use beyond a limit.
+const MAX_EXCESS_PERMITS: usize = 1 << 20;
+
 /// The right to use what was acquired of a [`ConnectionLimit`]. Dropping it makes that available again.
 pub type ConnectionPermit = OwnedSemaphorePermit;
 
@@ -22,6 +25,8 @@
 pub struct ConnectionLimit {
     capacity: usize,
     permits: Arc<Semaphore>,
+    /// The permits for use beyond the limit; all of them are available while nothing is.
+    excess: Arc<Semaphore>,
     state: Arc<Mutex<LimitState>>,
 }
 
@@ -35,6 +40,7 @@
         ConnectionLimit {
             capacity,
             permits: Arc::new(Semaphore::new(capacity)),
+            excess: Arc::new(Semaphore::new(MAX_EXCESS_PERMITS)),
             state: Arc::new(Mutex::new(state)),
         }
     }
@@ -58,6 +64,13 @@
         self.permits.clone().try_acquire_many_owned(count).ok()
     }
 
+    /// Acquires a permit for a resource that is in use already, whatever the limit. It counts as one in use; `None` only
+    /// where far more than any limit are.
+    pub fn acquire_beyond_limit(&self) -> Option<ConnectionPermit> {
+        self.try_acquire(1)
+            .or_else(|| self.excess.clone().try_acquire_owned().ok())
+    }
+
     /// The number of permits that are available.
     pub fn available(&self) -> usize {
         self.permits.available_permits()
@@ -66,7 +79,9 @@
     /// The number of permits in use.
     pub fn in_use(&self) -> usize {
         let state = self.state();
-        (state.limit + state.excess_permits).saturating_sub(self.permits.available_permits())
+        let total_permits = state.limit + state.excess_permits;
+        let beyond_limit = MAX_EXCESS_PERMITS - self.excess.available_permits();
+        total_permits.saturating_sub(self.permits.available_permits()) + beyond_limit
     }
 
     /// The number of permits in use beyond the limit.
--- a/src/process/frontends.rs
+++ b/src/process/frontends.rs
@@ -2,12 +2,12 @@
 
 use super::limits::SharedLimits;
 use super::listeners::DeferredListener;
+use super::tasks::StreamChannels;
 use crate::config::SessionBudget;
 use crate::dispatcher::DispatcherHandle;
+use crate::frontend::listener::PeerStreams;
 use crate::frontend::{health_check, http, listener, websocket, ShutdownPhase};
 use crate::net::connection_limit::ConnectionLimit;
-use crate::upgrade::stream_migration::MigrationSender;
-use axum::Router;
 use slog::Logger;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -20,30 +20,40 @@
     pub limits: SharedLimits,
     pub sessions: SessionBudget,
     pub seed: u64,
-    pub migrating_streams: MigrationSender,
+    pub streams: StreamChannels,
     pub log: Logger,
 }
 
-/// The frontends: sessions and agent checks from the start, the clients' one once the process accepts clients.
+/// The frontends, all from the start. The clients' one takes the streams of other processes at once, and accepts new
+/// connections once the process is to.
 pub(super) struct Frontends {
     tasks: JoinSet<()>,
-    /// The clients' frontend until it is opened. Its listener stays open while it waits, also in a process that shuts down
-    /// before: clients' connections then wait for the successor rather than being refused.
-    clients: Option<ClientFrontend>,
+    accepts_clients: watch::Sender<bool>,
     sessions: websocket::SessionFrontend,
     shutdown_phase: watch::Sender<ShutdownPhase>,
 }
 
-struct ClientFrontend {
-    listener: TcpListener,
-    routes: Router,
-    connections: ConnectionLimit,
-    migrating_streams: MigrationSender,
-    log: Logger,
+impl StreamChannels {
+    fn for_listener(
+        self,
+        dispatcher: DispatcherHandle,
+        accepts: watch::Receiver<bool>,
+    ) -> PeerStreams {
+        let resumer = http::StreamResumer {
+            dispatcher,
+            attempts: self.received_attempts,
+        };
+        PeerStreams {
+            migration: self.migration,
+            received: self.received,
+            resumer: Some(resumer),
+            accepts,
+        }
+    }
 }
 
 impl Frontends {
-    /// Prepares the clients' frontend, and starts those for sessions and agent checks where they are on.
+    /// Starts the clients' frontend, and those for sessions and agent checks where they are on.
     pub(super) fn start(
         inputs: FrontendInputs,
         client_listener: TcpListener,
@@ -55,17 +65,22 @@
             limits,
             sessions: session_budget,
             seed,
-            migrating_streams,
+            streams,
             log,
         } = inputs;
         let (shutdown_phase, phase) = watch::channel(ShutdownPhase::Serving);
-        let clients = ClientFrontend {
-            listener: client_listener,
-            routes: http::routes(dispatcher.clone(), limits.body_memory.clone(), log.clone()),
-            connections: limits.clients,
-            migrating_streams,
-            log: log.clone(),
-        };
+        let (accepts_clients, accepts) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        let routes = http::routes(dispatcher.clone(), limits.body_memory.clone(), log.clone());
+        let streams = streams.for_listener(dispatcher.clone(), accepts);
+        tasks.spawn(listener::serve_beside_peers(
+            client_listener,
+            routes,
+            limits.clients,
+            phase.clone(),
+            streams,
+            log.clone(),
+        ));
         let sessions = websocket::SessionFrontend::new(
             dispatcher.clone(),
             Arc::new(session_budget.config),
@@ -74,7 +89,6 @@
             phase.clone(),
             log.clone(),
         );
-        let mut tasks = JoinSet::new();
         if let Some(listener) = session_listener {
             let health_checks = health_check::routes(dispatcher.clone());
             let routes = websocket::routes(sessions.clone()).merge(health_checks);
@@ -82,7 +96,7 @@
             let (phase, log) = (phase.clone(), log.clone());
             tasks.spawn(async move {
                 if let Some(listener) = listener.listener(phase.clone()).await {
-                    listener::serve(listener, routes, connections, phase, None, log).await;
+                    listener::serve(listener, routes, connections, phase, log).await;
                 }
             });
         }
@@ -95,24 +109,15 @@
         }
         Frontends {
             tasks,
-            clients: Some(clients),
+            accepts_clients,
             sessions,
             shutdown_phase,
         }
     }
 
     /// Starts to accept clients.
-    pub(super) fn accept_clients(&mut self) {
-        if let Some(clients) = self.clients.take() {
-            self.tasks.spawn(listener::serve(
-                clients.listener,
-                clients.routes,
-                clients.connections,
-                self.shutdown_phase.subscribe(),
-                clients.migrating_streams,
-                clients.log,
-            ));
-        }
+    pub(super) fn accept_clients(&self) {
+        self.accepts_clients.send_replace(true);
     }
 
     pub(super) fn set_shutdown_phase(&self, phase: ShutdownPhase) {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -102,7 +102,7 @@
         dispatcher,
         pending_endpoints,
         upgrade,
-        migrating_streams,
+        streams,
     } = tasks::spawn(&mut startup, core, inputs);
     info!(log, "starting"; "stage" => "tasks started", "tasks" => vital.count());
     let endpoint_sockets = startup.budgets.sockets.endpoints;
@@ -113,7 +113,7 @@
         limits,
         sessions: startup.budgets.sessions,
         seed: startup.seed,
-        migrating_streams,
+        streams,
         log: log.clone(),
     };
     let frontends = Frontends::start(
--- a/src/process/tasks.rs
+++ b/src/process/tasks.rs
@@ -5,12 +5,14 @@
 use super::limits::SharedLimits;
 use super::Startup;
 use crate::config::reload;
-use crate::dispatcher::{Command, Core, DispatcherHandle, Event};
+use crate::dispatcher::{Command, Core, DispatcherHandle, Event, ReceivedAttempt};
 use crate::frontend::admin;
 use crate::gossip::transport::GossipTransport;
 use crate::gossip::Gossip;
 use crate::upgrade::resource_shares::ProcessState;
-use crate::upgrade::stream_migration::{self, MigrationSender, MigrationSignal};
+use crate::upgrade::stream_migration::{
+    self, MigratingStream, MigrationHandle, MigrationSender, ReceivedStream, ReceiverProcess,
+};
 use crate::upgrade::{PeerProcesses, UpgradeCoordinator};
 use crate::{backend, discovery, dispatcher, upgrade};
 use bytes::Bytes;
@@ -22,8 +24,8 @@
 
 /// Commands of the core that may wait for the backend.
 const COMMAND_QUEUE_LENGTH: usize = 1024;
-/// Streams that may wait for their migration.
-const MIGRATION_QUEUE_LENGTH: usize = 64;
+/// Streams that may wait for the next step of their migration.
+const STREAM_QUEUE_LENGTH: usize = 64;
 
 /// What the tasks need beside the core.
 pub(super) struct TaskInputs {
@@ -40,14 +42,23 @@
     pub dispatcher: DispatcherHandle,
     /// The endpoint list of the configuration, where the core has not received it yet.
     pub pending_endpoints: Option<Event>,
-    /// Where streams to migrate are sent, if they can be.
-    pub migrating_streams: MigrationSender,
+    pub streams: StreamChannels,
     pub upgrade: UpgradeChannels,
 }
 
+/// The channels on which the frontend exchanges streams with other processes, by the upgrade tasks, and with the backend.
+pub(super) struct StreamChannels {
+    /// Where streams are sent that migrate; `None`: there is no other process.
+    pub migration: MigrationSender,
+    /// The streams of other processes.
+    pub received: mpsc::Receiver<ReceivedStream>,
+    /// Where the backend takes the upstream side of received streams.
+    pub received_attempts: mpsc::Sender<ReceivedAttempt>,
+}
+
 /// The channels to the process upgrade, which are idle in a process without a coordinator.
 pub(super) struct UpgradeChannels {
-    /// Turns on the migration of streams to a successor. Streams stop migrating for good when it is dropped.
+    /// Turns the migration of streams on and off. Streams stop migrating for good when it is dropped.
     pub migration_switch: watch::Sender<bool>,
     /// What other processes are told about this one.
     pub process_state: watch::Sender<ProcessState>,
@@ -76,7 +87,12 @@
         log: startup.log.clone(),
     };
     let (commands, backend_commands) = mpsc::channel(COMMAND_QUEUE_LENGTH);
-    let (migration_switch, migration) = stream_migration::migration_signal();
+    let (migration_switch, signal) = stream_migration::migration_signal();
+    let (received_attempts, attempts) = mpsc::channel(STREAM_QUEUE_LENGTH);
+    let migration = backend::StreamMigration {
+        signal: signal.clone(),
+        received_attempts: attempts,
+    };
     vital.spawn_backend(startup, backend_commands, &inputs.limits, migration);
     let gossip_queue = spawn_gossip(startup, &mut core, &dispatcher);
     vital.tasks.spawn(dispatcher::run(
@@ -94,13 +110,19 @@
         let serve = admin::serve(listener, dispatcher.clone(), log);
         vital.tasks.spawn(serve);
     }
+    let (received_streams, received) = mpsc::channel(STREAM_QUEUE_LENGTH);
     let (upgrade, migrating_streams) =
-        vital.spawn_upgrade(startup, inputs.limits, migration_switch);
+        vital.spawn_upgrade(startup, inputs.limits, migration_switch, received_streams);
+    let migration = migrating_streams.map(|streams| MigrationHandle { streams, signal });
     RunningTasks {
         vital,
         dispatcher,
         pending_endpoints,
-        migrating_streams,
+        streams: StreamChannels {
+            migration,
+            received,
+            received_attempts,
+        },
         upgrade,
     }
 }
@@ -139,7 +161,7 @@
         startup: &Startup,
         commands: mpsc::Receiver<Command>,
         limits: &SharedLimits,
-        migration: MigrationSignal,
+        migration: backend::StreamMigration,
     ) {
         let sessions = &startup.budgets.sessions.config;
         self.tasks.spawn(backend::run(
@@ -187,12 +209,13 @@
         startup: &mut Startup,
         limits: SharedLimits,
         migration_switch: watch::Sender<bool>,
-    ) -> (UpgradeChannels, MigrationSender) {
+        received_streams: mpsc::Sender<ReceivedStream>,
+    ) -> (UpgradeChannels, Option<mpsc::Sender<MigratingStream>>) {
         let (process_state, own_state) = watch::channel(ProcessState::Starting);
         let (set_peers, peers) = watch::channel(startup.peers);
         let mut migrating_streams = None;
         if let Some(coordinator) = startup.upgrade.take() {
-            migrating_streams = Some(self.spawn_migration(&coordinator, &limits, &peers));
+            migrating_streams = Some(self.spawn_migration(&coordinator, received_streams, &peers));
             self.tasks.spawn(upgrade::run(
                 coordinator,
                 limits,
@@ -209,30 +232,35 @@
         (channels, migrating_streams)
     }
 
-    /// Starts the migration of streams from a predecessor and to a successor; returns the queue of the latter.
+    /// Starts the migration of streams from and to other processes; returns the queue of the latter.
     fn spawn_migration(
         &mut self,
         coordinator: &UpgradeCoordinator,
-        limits: &SharedLimits,
+        received_streams: mpsc::Sender<ReceivedStream>,
         peers: &watch::Receiver<PeerProcesses>,
-    ) -> mpsc::Sender<stream_migration::MigratingStream> {
+    ) -> mpsc::Sender<MigratingStream> {
         match coordinator.listen() {
             Ok(listener) => {
                 self.tasks.spawn(stream_migration::receive_streams(
                     listener,
-                    limits.clients.clone(),
-                    limits.endpoints.clone(),
+                    received_streams,
                     self.log.clone(),
                 ));
             }
             Err(error) => warn!(self.log, "stream migration listener failed"; "error" => %error),
         }
-        let (queue, streams) = mpsc::channel(MIGRATION_QUEUE_LENGTH);
+        let (queue, streams) = mpsc::channel(STREAM_QUEUE_LENGTH);
         let socket_path = coordinator.stream_socket_path();
         let peers = peers.clone();
-        let successor_path = move || peers.borrow().successor.map(&socket_path);
+        let receiver = move || {
+            let started_at = peers.borrow().stream_receiver()?;
+            Some(ReceiverProcess {
+                started_at,
+                socket_path: socket_path(started_at),
+            })
+        };
         self.tasks.spawn(stream_migration::send_streams(
-            successor_path,
+            receiver,
             streams,
             self.log.clone(),
         ));
--- a/src/upgrade/announcements.rs
+++ b/src/upgrade/announcements.rs
@@ -30,6 +30,17 @@
     pub predecessor: bool,
     /// When the youngest process that is younger than this one started, in Unix microseconds, if any lives.
     pub successor: Option<u64>,
+    /// When the youngest other process that accepts clients started, in Unix microseconds, if any does.
+    pub serving: Option<u64>,
+}
+
+impl PeerProcesses {
+    /// When the process started, in Unix microseconds, to which this one's streams migrate. One that has not begun to serve
+    /// may never do so, and one that is told to end would have to hand them on: such a process is the last choice, which
+    /// is still better than the end of this one.
+    pub fn stream_receiver(&self) -> Option<u64> {
+        self.serving.or(self.successor)
+    }
 }
 
 /// This process's announcement, whose file it owns and removes in the end, and the others' as they were last read.
@@ -214,8 +225,12 @@
         let started_at = self.own.started_at;
         let mut predecessor = false;
         let mut successor = None;
+        let mut serving = None;
         for other in &self.others {
             predecessor |= other.started_at < started_at;
+            if other.state == ProcessState::Serving {
+                serving = serving.max(Some(other.started_at));
+            }
             if other.started_at > started_at {
                 successor = successor.max(Some(other.started_at));
             }
@@ -225,6 +240,7 @@
             processes: 1 + self.others.len() as u32,
             predecessor,
             successor,
+            serving,
         }
     }
 }
--- a/src/upgrade/stream_migration/mod.rs
+++ b/src/upgrade/stream_migration/mod.rs
@@ -1,103 +1,60 @@
-//! Migration of live streams to a successor process, with the sockets of their client and of their upstream.
+//! Migration of live streams to another process of the dispatcher, with the sockets of their client and of their upstream.
 //!
 //! The upstream side of a stream offers its [`UpstreamHalf`] down the stream's own channel, behind the last event; the
-//! client's connection adds its socket once all before the offer is written ([`MigrationSlot`]). [`send_streams`] sends
-//! both to the successor in one frame and reports to both sides whether it accepted them: where it did not, they go on.
-//! In the successor [`receive_streams`] forwards each stream to its end.
+//! client's connection adds its [`ClientHalf`] once all before the offer is written, or buffered to go along
+//! ([`MigrationSlot`]). [`send_streams`] sends both to the receiving process in one frame and reports to both sides
+//! whether it accepted them: where it did not, they go on, and try again a moment later. In the receiving process
+//! [`receive_streams`] queues each stream for the frontend and the backend, which go on with it as with one that the
+//! process took itself; it can migrate again from there.
 //!
 //! A stream belongs to one process at any time: to the sender up to the acceptance, to the receiver from then on.
 
-mod forwarder;
 mod frame;
 mod receiver;
 mod sender;
 mod slot;
 
-pub use receiver::receive_streams;
-pub use sender::send_streams;
+pub use frame::{ClientState, ConnectionState, UpstreamState};
+pub use receiver::{receive_streams, ReceivedStream, ReceivedUpstream};
+pub use sender::{send_streams, ReceiverProcess};
 pub use slot::{
-    migration_signal, MigratingStream, MigrationSender, MigrationSignal, MigrationSlot,
-    SharedMigrationSlot, UpstreamHalf,
+    migration_signal, ClientHalf, MigratingStream, MigrationHandle, MigrationSender,
+    MigrationSignal, MigrationSlot, OfferClaim, SharedMigrationSlot, UpstreamHalf,
 };
 
-use socket2::{SockAddr, SockRef};
-use std::fmt::{self, Display, Formatter};
 use std::io;
-use std::net::SocketAddr;
-use std::os::fd::AsFd;
 use thiserror::Error;
 
-/// The peers of a stream's two sockets, by which the logs of two processes name the same stream.
-struct StreamSockets {
-    client: Option<SocketAddr>,
-    upstream: Option<SocketAddr>,
-}
-
-impl StreamSockets {
-    fn of(client: &impl AsFd, upstream: &impl AsFd) -> StreamSockets {
-        StreamSockets {
-            client: peer_address(client),
-            upstream: peer_address(upstream),
-        }
-    }
-}
-
-fn peer_address(socket: &impl AsFd) -> Option<SocketAddr> {
-    let address = SockRef::from(socket).peer_addr();
-    address.as_ref().ok().and_then(SockAddr::as_socket)
-}
-
-impl Display for StreamSockets {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        for (name, address) in [("client", self.client), ("upstream", self.upstream)] {
-            match address {
-                Some(address) => write!(formatter, "{name} {address} ")?,
-                None => write!(formatter, "{name} disconnected ")?,
-            }
-        }
-        Ok(())
-    }
-}
-
-/// Why a stream was not migrated, or broke after it was.
+/// Why a stream was not migrated.
 #[derive(Debug, Error)]
 enum MigrationError {
     /// No process is there to receive it.
-    #[error("no successor")]
-    NoSuccessor,
-    /// The event that has begun is too long for a frame.
-    #[error("partial event too long")]
-    PartialEventTooLong,
-    /// The header did not fit into one message.
-    #[error("frame header truncated")]
-    HeaderTruncated,
-    /// The successor answered, but not with its acceptance.
-    #[error("not accepted by the successor")]
+    #[error("no process receives streams")]
+    NoReceiver,
+    /// The event that has begun, or what the client has not taken, is too long for a frame.
+    #[error("too long for a frame")]
+    FrameTooLong,
+    /// The receiver did not accept the stream.
+    #[error("not accepted by the receiver")]
     NotAccepted,
+    /// The receiver did not answer in time, and the stream was withdrawn.
+    #[error("not accepted in time")]
+    AcceptanceTimeout,
+    /// This process ends and accepts no more streams.
+    #[error("this process ends")]
+    ProcessEnds,
     /// The sender's process belongs to another user.
     #[error("sender is another user's process")]
     ForeignUser,
     /// What was received is no frame.
     #[error("invalid frame")]
     InvalidFrame,
+    /// The descriptors did not come along: this process is short of them.
+    #[error("descriptors missing")]
+    MissingDescriptor,
     /// The sender did not send the whole frame in time.
     #[error("frame timed out")]
     FrameTimeout,
-    /// The upstream sent no whole event for too long.
-    #[error("upstream silent")]
-    UpstreamSilent,
-    /// The upstream closed its connection before the stream's end.
-    #[error("upstream disconnected")]
-    UpstreamDisconnected,
-    /// The upstream sent what is no chunked stream of events.
-    #[error("malformed stream")]
-    MalformedStream,
-    /// The client closed its connection.
-    #[error("client disconnected")]
-    ClientDisconnected,
-    /// The client accepted no bytes for too long.
-    #[error("client stalled")]
-    ClientStalled,
     /// A system call on one of the sockets failed.
     #[error(transparent)]
     Io(#[from] io::Error),
--- a/src/upgrade/stream_migration/receiver.rs
+++ b/src/upgrade/stream_migration/receiver.rs
@@ -1,99 +1,176 @@
-//! Receives streams from the predecessor. Owns each stream from its acceptance to its end.
+//! Receives streams from another process. Owns each stream until the frontend has it.
 
-use super::forwarder;
-use super::frame::{FrameHeader, ACCEPTED, HEADER_BYTES};
-use super::{MigrationError, StreamSockets};
-use crate::net::connection_limit::ConnectionLimit;
-use crate::net::message_framing::ChunkedDecoder;
+use super::frame::{
+    ClientState, ConnectionState, FrameExtension, FrameHeader, FrameVersion, UpstreamState,
+    ACCEPTED, EXTENSION_BYTES, HEADER_BYTES,
+};
+use super::MigrationError;
 use crate::net::system_errors::AcceptPauses;
-use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
+use bytes::Bytes;
+use rustix::net::{recvmsg, send, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendFlags};
 use slog::{info, warn, Logger};
 use std::io::{self, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::OwnedFd;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-/// How long a predecessor may take to send a frame.
+/// How long the sender may take for a frame.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A stream that was received and is not forwarded yet.
-pub(super) struct ReceivedStream {
-    pub(super) client: TcpStream,
-    pub(super) upstream: TcpStream,
-    /// The position in the upstream's chunked body.
-    pub(super) chunks: ChunkedDecoder,
-    /// The bytes of the event that has not ended.
-    pub(super) partial_event: Vec<u8>,
+/// A stream that this process has accepted.
+#[derive(Debug)]
+pub struct ReceivedStream {
+    /// The client's socket.
+    pub client: TcpStream,
+    /// The state of its connection.
+    pub client_state: ClientState,
+    /// The upstream side.
+    pub upstream: ReceivedUpstream,
 }
 
-/// Receives the streams of a predecessor and forwards each to its end. Each counts against both limits where these
-/// have room; a stream for which there is none is not cut off.
+/// The upstream side of a received stream.
+#[derive(Debug)]
+pub struct ReceivedUpstream {
+    /// The upstream's socket.
+    pub socket: TcpStream,
+    /// Where the stream stands.
+    pub state: UpstreamState,
+}
+
+/// Receives the streams of other processes and queues each for the frontend, which owns it from then on. None is
+/// accepted once the queue is closed. Never returns, as the process may have more to end.
 pub async fn receive_streams(
     listener: UnixListener,
-    client_limit: ConnectionLimit,
-    upstream_limit: ConnectionLimit,
+    queue: mpsc::Sender<ReceivedStream>,
     log: Logger,
 ) {
     let mut pauses = AcceptPauses::default();
+    let mut tasks = JoinSet::new();
     loop {
-        let connection = match listener.accept().await {
-            Ok((connection, _)) => connection,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+        };
+        match accepted {
+            Ok((connection, _)) => {
+                pauses.reset();
+                tasks.spawn(receive_and_queue(connection, queue.clone(), log.clone()));
+            }
             Err(error) => {
                 warn!(log, "accept failed"; "error" => %error);
                 sleep(pauses.delay_after(&error)).await;
-                continue;
             }
-        };
-        pauses.reset();
-        let log = log.clone();
-        let client_permit = client_limit.try_acquire(1);
-        let upstream_permit = upstream_limit.try_acquire(1);
-        tokio::spawn(async move {
-            receive_and_forward(connection, &log).await;
-            drop(client_permit);
-            drop(upstream_permit);
-        });
+        }
     }
 }
 
-async fn receive_and_forward(connection: UnixStream, log: &Logger) {
-    let received = match timeout(FRAME_TIMEOUT, receive(connection)).await {
+async fn receive_and_queue(
+    connection: UnixStream,
+    queue: mpsc::Sender<ReceivedStream>,
+    log: Logger,
+) {
+    let sender_process = connection.peer_cred().ok().and_then(|peer| peer.pid());
+    let received = match timeout(FRAME_TIMEOUT, receive(&connection)).await {
         Ok(received) => received,
         Err(_) => Err(MigrationError::FrameTimeout),
     };
-    let stream = match received {
-        Ok(stream) => stream,
-        Err(error) => {
-            warn!(log, "stream migration rejected"; "error" => %error);
-            return;
-        }
+    let accepted = match received {
+        Ok(stream) => accept(&connection, stream, &queue, sender_process, &log).await,
+        Err(error) => Err(error),
     };
-    let sockets = StreamSockets::of(&stream.client, &stream.upstream);
-    info!(log, "stream received"; "sockets" => %sockets);
-    match forwarder::forward(stream).await {
-        Ok(()) => info!(log, "received stream complete"; "sockets" => %sockets),
-        Err(error) => {
-            info!(log, "received stream broken"; "sockets" => %sockets, "error" => %error);
-        }
+    if let Err(error) = accepted {
+        warn!(log, "stream migration rejected"; "sender_process" => sender_process, "error" => %error);
     }
 }
 
-/// Receives a frame with its descriptors, and accepts the stream.
-async fn receive(mut connection: UnixStream) -> Result<ReceivedStream, MigrationError> {
+/// Accepts a stream and queues it. A place in the queue comes first: the frontend, which closes the queue as the
+/// process ends, waits for such places, so that no accepted stream is left without an owner.
+async fn accept(
+    connection: &UnixStream,
+    stream: ReceivedStream,
+    queue: &mpsc::Sender<ReceivedStream>,
+    sender_process: Option<i32>,
+    log: &Logger,
+) -> Result<(), MigrationError> {
+    let place = queue
+        .reserve()
+        .await
+        .map_err(|_| MigrationError::ProcessEnds)?;
+    // A single byte fits into the connection's empty buffer. Where the sender has withdrawn the stream, the write fails;
+    // once it has succeeded, the sender forwards no more of the stream.
+    send(
+        connection,
+        &[ACCEPTED],
+        SendFlags::DONTWAIT | SendFlags::NOSIGNAL,
+    )
+    .map_err(io::Error::from)?;
+    info!(log, "stream received"; "client_request_id" => stream.client_state.client_request_id.as_deref(),
+        "sender_process" => sender_process, "unsent_bytes" => stream.client_state.connection.unsent.len(),
+        "pipelined_bytes" => stream.client_state.connection.pipelined.len());
+    place.send(stream);
+    Ok(())
+}
+
+/// Receives a frame with its descriptors.
+async fn receive(connection: &UnixStream) -> Result<ReceivedStream, MigrationError> {
     // The folder may be writable for other users; their processes are never predecessors.
     if connection.peer_cred()?.uid() != rustix::process::geteuid().as_raw() {
         return Err(MigrationError::ForeignUser);
     }
+    let (header, descriptors) = receive_header(connection).await?;
+    let mut frame = FrameReader(connection);
+    let extension = match header.version {
+        FrameVersion::Position => None,
+        FrameVersion::WithConnection => {
+            let bytes = frame.read_array::<EXTENSION_BYTES>().await?;
+            Some(FrameExtension::parse(&bytes).ok_or(MigrationError::InvalidFrame)?)
+        }
+    };
+    let partial_event = frame.read(header.partial_event_bytes).await?;
+    let client_state = match &extension {
+        Some(extension) => frame.read_client_state(extension).await?,
+        None => ClientState {
+            client_request_id: None,
+            connection: ConnectionState {
+                unsent: Bytes::new(),
+                pipelined: Bytes::new(),
+                closes: true,
+            },
+        },
+    };
+    let silent_ms = extension.map_or(0, |extension| extension.silent_ms);
+    let [client, upstream] =
+        <[OwnedFd; 2]>::try_from(descriptors).map_err(|_| MigrationError::MissingDescriptor)?;
+    Ok(ReceivedStream {
+        client: tcp_stream(client)?,
+        client_state,
+        upstream: ReceivedUpstream {
+            socket: tcp_stream(upstream)?,
+            state: UpstreamState {
+                chunks: header.chunks,
+                partial_event,
+                silent_for: Duration::from_millis(silent_ms.into()),
+            },
+        },
+    })
+}
+
+/// Receives the header, and the descriptors that come with its first byte.
+async fn receive_header(
+    connection: &UnixStream,
+) -> Result<(FrameHeader, Vec<OwnedFd>), MigrationError> {
     let mut header = [0; HEADER_BYTES];
-    let mut descriptors: Vec<OwnedFd> = Vec::new();
-    let receive_header = connection.async_io(Interest::READABLE, || {
+    let mut descriptors = Vec::new();
+    let receive = connection.async_io(Interest::READABLE, || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
         let message = recvmsg(
-            &connection,
+            connection,
             &mut [IoSliceMut::new(&mut header)],
             &mut control,
             RecvFlags::CMSG_CLOEXEC,
@@ -105,23 +182,60 @@
         }
         Ok(message.bytes)
     });
-    if receive_header.await? != HEADER_BYTES {
+    if receive.await? != HEADER_BYTES {
         return Err(MigrationError::InvalidFrame);
     }
     let header = FrameHeader::parse(&header).ok_or(MigrationError::InvalidFrame)?;
-    let [client, upstream] =
-        <[OwnedFd; 2]>::try_from(descriptors).map_err(|_| MigrationError::InvalidFrame)?;
-    let mut partial_event = vec![0; header.partial_event_bytes as usize];
-    connection.read_exact(&mut partial_event).await?;
-    let received = ReceivedStream {
-        client: tcp_stream(client)?,
-        upstream: tcp_stream(upstream)?,
-        chunks: header.chunks,
-        partial_event,
-    };
-    // The last step: once this is written, the sender forwards no more of the stream.
-    connection.write_u8(ACCEPTED).await?;
-    Ok(received)
+    Ok((header, descriptors))
+}
+
+/// Reads the parts of a frame behind its header.
+struct FrameReader<'a>(&'a UnixStream);
+
+impl FrameReader<'_> {
+    async fn read_exact(&mut self, mut buffer: &mut [u8]) -> io::Result<()> {
+        while !buffer.is_empty() {
+            self.0.readable().await?;
+            match self.0.try_read(buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read_bytes) => buffer = &mut buffer[read_bytes..],
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    async fn read_array<const N: usize>(&mut self) -> io::Result<[u8; N]> {
+        let mut bytes = [0; N];
+        self.read_exact(&mut bytes).await?;
+        Ok(bytes)
+    }
+
+    async fn read(&mut self, length: u32) -> io::Result<Bytes> {
+        let mut bytes = vec![0; length as usize];
+        self.read_exact(&mut bytes).await?;
+        Ok(bytes.into())
+    }
+
+    async fn read_client_state(
+        &mut self,
+        extension: &FrameExtension,
+    ) -> Result<ClientState, MigrationError> {
+        let unsent = self.read(extension.unsent_bytes).await?;
+        let pipelined = self.read(extension.pipelined_bytes).await?;
+        let request_id = self.read(extension.request_id_bytes).await?;
+        let request_id =
+            std::str::from_utf8(&request_id).map_err(|_| MigrationError::InvalidFrame)?;
+        Ok(ClientState {
+            client_request_id: (!request_id.is_empty()).then(|| request_id.into()),
+            connection: ConnectionState {
+                unsent,
+                pipelined,
+                closes: extension.closes_connection,
+            },
+        })
+    }
 }
 
 fn tcp_stream(descriptor: OwnedFd) -> io::Result<TcpStream> {
--- a/src/upgrade/stream_migration/sender.rs
+++ b/src/upgrade/stream_migration/sender.rs
@@ -1,87 +1,198 @@
-//! Sends streams to the successor. Owns each stream until the successor has accepted it.
+//! Sends streams to another process. Owns each stream until that process has accepted it.
 
-use super::frame::{FrameHeader, ACCEPTED, HEADER_BYTES};
-use super::slot::{MigratingStream, UpstreamHalf};
-use super::{MigrationError, StreamSockets};
-use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
+use super::frame::{self, FrameVersion, ACCEPTED};
+use super::slot::{ClientHalf, MigratingStream, UpstreamHalf};
+use super::MigrationError;
+use rustix::net::{recv, sendmsg, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use slog::{info, warn, Logger};
-use std::io::IoSlice;
+use socket2::SockRef;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
-use std::os::fd::{AsFd, OwnedFd};
+use std::net::Shutdown;
+use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
-/// Sends each of these streams to the process that receives at `successor_path`, where there is one, and reports to
+/// How long a process may take to accept a stream: meanwhile none of its events is forwarded, and none may be late by
+/// 0.3 s.
+const ACCEPTANCE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// A process that receives streams.
+#[derive(Clone, Debug)]
+pub struct ReceiverProcess {
+    /// When it started, in Unix microseconds; names it in the log.
+    pub started_at: u64,
+    /// Where it receives streams.
+    pub socket_path: PathBuf,
+}
+
+/// Whether a stream has migrated, where no error occurred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Acceptance {
+    Accepted,
+    /// The receiver has closed the connection over unread bytes: it does not know the frame's version.
+    UnknownVersion,
+}
+
+/// Sends each of these streams to the process that receives them at that moment, where there is one, and reports to
 /// both of its sides whether it has migrated. Never returns, as the process may have more to end than its connections.
 pub async fn send_streams(
-    successor_path: impl Fn() -> Option<PathBuf>,
+    receiver: impl Fn() -> Option<ReceiverProcess>,
     mut streams: mpsc::Receiver<MigratingStream>,
     log: Logger,
 ) {
-    while let Some(stream) = streams.recv().await {
-        // A task of its own: a stream that takes long delays no other.
-        tokio::spawn(send_and_report(successor_path(), stream, log.clone()));
+    // When the process started that knows no more than the first version of the frame.
+    let old_receiver = Arc::new(AtomicU64::new(0));
+    let mut tasks = JoinSet::new();
+    loop {
+        tokio::select! {
+            stream = streams.recv() => match stream {
+                // A task of its own: a stream that takes long delays no other.
+                Some(stream) => {
+                    tasks.spawn(send_and_report(receiver(), stream, old_receiver.clone(), log.clone()));
+                }
+                None => std::future::pending().await,
+            },
+            Some(_) = tasks.join_next() => {}
+        }
     }
-    std::future::pending::<()>().await;
 }
 
-async fn send_and_report(path: Option<PathBuf>, stream: MigratingStream, log: Logger) {
+async fn send_and_report(
+    receiver: Option<ReceiverProcess>,
+    stream: MigratingStream,
+    old_receiver: Arc<AtomicU64>,
+    log: Logger,
+) {
     let MigratingStream {
         upstream_half,
-        client,
+        client_half,
         migrated,
     } = stream;
-    let sockets = StreamSockets::of(&client, &upstream_half.upstream);
-    let result = match &path {
-        Some(path) => send(path, &upstream_half, client).await,
-        None => Err(MigrationError::NoSuccessor),
+    let client_request_id = client_half.state.client_request_id.as_deref();
+    let receiver_started_at = receiver.as_ref().map(|receiver| receiver.started_at);
+    let result = match receiver {
+        Some(receiver) => send(&receiver, &upstream_half, &client_half, &old_receiver).await,
+        None => Err(MigrationError::NoReceiver),
     };
     match &result {
         Ok(()) => {
-            info!(log, "stream migrated"; "sockets" => %sockets, "successor" => path.map(|path| path.display().to_string()));
+            info!(log, "stream migrated"; "client_request_id" => client_request_id,
+                "receiver_started_at" => receiver_started_at);
         }
         Err(error) => {
-            warn!(log, "stream migration failed"; "sockets" => %sockets, "error" => %error);
+            warn!(log, "stream migration failed"; "client_request_id" => client_request_id,
+                "receiver_started_at" => receiver_started_at, "error" => %error);
         }
     }
-    let _ = migrated.send(result.is_ok());
+    // The upstream side first: the end of the attempt is then reported before the client's side is gone.
     let _ = upstream_half.migrated.send(result.is_ok());
+    let _ = migrated.send(result.is_ok());
 }
 
+/// Sends a stream in the newest version of the frame that the receiver knows.
 async fn send(
-    path: &Path,
+    receiver: &ReceiverProcess,
     upstream_half: &UpstreamHalf,
-    client: OwnedFd,
+    client_half: &ClientHalf,
+    old_receiver: &AtomicU64,
 ) -> Result<(), MigrationError> {
-    let mut connection = UnixStream::connect(path).await?;
-    let header = FrameHeader {
-        chunks: upstream_half.chunks,
-        partial_event_bytes: u32::try_from(upstream_half.partial_event.len())
-            .map_err(|_| MigrationError::PartialEventTooLong)?,
+    if old_receiver.load(Ordering::Relaxed) != receiver.started_at {
+        let version = FrameVersion::WithConnection;
+        let path = &receiver.socket_path;
+        if send_frame(path, version, upstream_half, client_half).await? == Acceptance::Accepted {
+            return Ok(());
+        }
+    }
+    // What the first version can't carry would be lost.
+    if !client_half.state.connection.is_position_enough() {
+        return Err(MigrationError::NotAccepted);
     }
-    .to_bytes();
-    let descriptors = [client.as_fd(), upstream_half.upstream.as_fd()];
-    let send_header = connection.async_io(Interest::WRITABLE, || {
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        control.push(SendAncillaryMessage::ScmRights(&descriptors));
-        let header = [IoSlice::new(&header)];
-        Ok(sendmsg(
-            &connection,
-            &header,
-            &mut control,
-            SendFlags::NOSIGNAL,
-        )?)
-    });
-    if send_header.await? != HEADER_BYTES {
-        return Err(MigrationError::HeaderTruncated);
+    let version = FrameVersion::Position;
+    match send_frame(&receiver.socket_path, version, upstream_half, client_half).await? {
+        Acceptance::Accepted => {
+            old_receiver.store(receiver.started_at, Ordering::Relaxed);
+            Ok(())
+        }
+        Acceptance::UnknownVersion => Err(MigrationError::NotAccepted),
     }
-    connection.write_all(&upstream_half.partial_event).await?;
-    // Without a timeout: if an acceptance was missed, two processes would forward the stream.
-    match connection.read_u8().await? {
-        ACCEPTED => Ok(()),
-        _ => Err(MigrationError::NotAccepted),
+}
+
+async fn send_frame(
+    path: &Path,
+    version: FrameVersion,
+    upstream_half: &UpstreamHalf,
+    client_half: &ClientHalf,
+) -> Result<Acceptance, MigrationError> {
+    let frame = frame::format(version, &upstream_half.state, &client_half.state)
+        .ok_or(MigrationError::FrameTooLong)?;
+    let mut connection = UnixStream::connect(path).await?;
+    let exchange = async {
+        send_with_descriptors(&mut connection, &frame, upstream_half, client_half).await?;
+        connection.read_u8().await
+    };
+    let answer = match timeout(ACCEPTANCE_TIMEOUT, exchange).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) if is_reset(&error) => return Ok(Acceptance::UnknownVersion),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::UnexpectedEof => {
+            return Err(MigrationError::NotAccepted);
+        }
+        Ok(Err(error)) => return Err(error.into()),
+        Err(_) => withdraw(&connection)?,
+    };
+    match answer {
+        Some(ACCEPTED) => Ok(Acceptance::Accepted),
+        Some(_) => Err(MigrationError::NotAccepted),
+        None => Err(MigrationError::AcceptanceTimeout),
+    }
+}
+
+async fn send_with_descriptors(
+    connection: &mut UnixStream,
+    frame: &[u8],
+    upstream_half: &UpstreamHalf,
+    client_half: &ClientHalf,
+) -> io::Result<()> {
+    let descriptors = [client_half.client.as_fd(), upstream_half.upstream.as_fd()];
+    let sent = connection
+        .async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            control.push(SendAncillaryMessage::ScmRights(&descriptors));
+            let frame = [IoSlice::new(frame)];
+            Ok(sendmsg(
+                &*connection,
+                &frame,
+                &mut control,
+                SendFlags::NOSIGNAL,
+            )?)
+        })
+        .await?;
+    connection.write_all(&frame[sent..]).await
+}
+
+fn is_reset(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+    )
+}
+
+/// Takes the offer back, or returns the answer that has come before that. The order is what keeps the stream with one
+/// process: from the shutdown on the receiver's write of its acceptance fails, and it then drops the stream.
+fn withdraw(connection: &UnixStream) -> io::Result<Option<u8>> {
+    SockRef::from(connection).shutdown(Shutdown::Read)?;
+    let mut answer = [0];
+    match recv(connection, &mut answer[..], RecvFlags::DONTWAIT) {
+        Ok((_, 0)) | Err(rustix::io::Errno::AGAIN) => Ok(None),
+        Ok(_) => Ok(Some(answer[0])),
+        Err(error) => Err(error.into()),
     }
 }
--- a/src/upgrade/stream_migration/slot.rs
+++ b/src/upgrade/stream_migration/slot.rs
@@ -2,30 +2,51 @@
 //!
 //! Each client connection owns a [`MigrationSlot`]; the process owns one [`MigrationSignal`].
 
-use crate::net::message_framing::ChunkedDecoder;
-use bytes::Bytes;
+use super::frame::{ClientState, ConnectionState, UpstreamState};
 use std::os::fd::{AsFd, OwnedFd};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 
 /// How many streams migrate at a time: each needs descriptors beyond its own meanwhile.
 const MAX_CONCURRENT_MIGRATIONS: usize = 12;
 
-/// What connections send their streams to; `None` in a process that can have no successor.
-pub type MigrationSender = Option<mpsc::Sender<MigratingStream>>;
+/// What connections send their streams to; `None` in a process that is alone.
+pub type MigrationSender = Option<MigrationHandle>;
+
+/// The way of a connection's stream to another process.
+#[derive(Clone)]
+pub struct MigrationHandle {
+    /// Takes the streams that are ready.
+    pub streams: mpsc::Sender<MigratingStream>,
+    /// When streams are to migrate.
+    pub signal: MigrationSignal,
+}
 
 /// A slot that a connection shares with the response that it writes.
 pub type SharedMigrationSlot = Arc<MigrationSlot>;
 
-/// The upstream side of a stream. Whoever offers it reads nothing more from its socket.
+/// Settles once whether an offer is taken or withdrawn: the first to claim it decides.
+#[derive(Clone, Debug, Default)]
+pub struct OfferClaim(Arc<AtomicBool>);
+
+impl OfferClaim {
+    /// Claims the offer; false where the other side did before.
+    pub fn claim(&self) -> bool {
+        !self.0.swap(true, Ordering::Relaxed)
+    }
+}
+
+/// The upstream side of a stream. Whoever offers it reads nothing from its socket until it has withdrawn the offer, or
+/// knows that the stream has not migrated.
 #[derive(Debug)]
 pub struct UpstreamHalf {
     /// The upstream's socket.
     pub upstream: OwnedFd,
-    /// The position in the chunked body.
-    pub chunks: ChunkedDecoder,
-    /// The bytes received so far of the event that has not ended.
-    pub partial_event: Bytes,
+    /// Where the stream stands.
+    pub state: UpstreamState,
+    /// Whether the offer still stands.
+    pub claim: OfferClaim,
     /// Receives whether the stream has migrated; it has not where this is dropped.
     pub migrated: oneshot::Sender<bool>,
 }
@@ -37,10 +58,19 @@
     }
 }
 
-/// Both sides of a stream on its way to the successor.
+/// The client's side of a stream.
+#[derive(Debug)]
+pub struct ClientHalf {
+    /// The client's socket.
+    pub client: OwnedFd,
+    /// The state of its connection.
+    pub state: ClientState,
+}
+
+/// Both sides of a stream on its way to another process.
 pub struct MigratingStream {
     pub(super) upstream_half: UpstreamHalf,
-    pub(super) client: OwnedFd,
+    pub(super) client_half: ClientHalf,
     /// Receives whether the stream has migrated, for the client's side.
     pub(super) migrated: oneshot::Sender<bool>,
 }
@@ -53,19 +83,34 @@
 }
 
 impl MigrationSignal {
-    /// Waits until streams are to migrate, and for a permit, which is kept until the stream has migrated.
-    pub async fn acquire(&self) -> OwnedSemaphorePermit {
-        let mut is_due = self.is_due.clone();
+    /// Waits until streams are to migrate, and for a permit, which is kept while the stream tries to.
+    pub async fn acquire(self) -> OwnedSemaphorePermit {
+        let MigrationSignal {
+            mut is_due,
+            permits,
+        } = self;
         if is_due.wait_for(|is_due| *is_due).await.is_ok() {
-            if let Ok(permit) = self.permits.clone().acquire_owned().await {
+            if let Ok(permit) = permits.acquire_owned().await {
                 return permit;
             }
         }
         std::future::pending().await
     }
+
+    /// Whether streams are to migrate now.
+    pub fn is_due(&self) -> bool {
+        *self.is_due.borrow()
+    }
+
+    /// Waits until it changes whether streams are to migrate.
+    pub async fn changed(&mut self) {
+        if self.is_due.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
-/// A signal, and the sender that starts the migration with `true`.
+/// A signal, and the sender that starts the migration with `true` and pauses it with `false`.
 pub fn migration_signal() -> (watch::Sender<bool>, MigrationSignal) {
     let (set_due, is_due) = watch::channel(false);
     let signal = MigrationSignal {
@@ -87,13 +132,12 @@
     /// The stream, if any, does not migrate.
     #[default]
     Empty,
-    /// The upstream side is there; the client's side has not written all that came before the offer.
-    Offered(UpstreamHalf),
+    /// The upstream side is there; the client's side has not handed on all that came before the offer.
+    Offered(UpstreamHalf, Option<Arc<str>>),
     /// Both sides are there.
-    Ready {
-        upstream_half: UpstreamHalf,
-        client: OwnedFd,
-    },
+    Ready(UpstreamHalf, ClientHalf),
+    /// Both sides are on their way to another process, or back.
+    InTransit,
 }
 
 impl MigrationSlot {
@@ -102,50 +146,72 @@
     }
 
     /// Adds the upstream side of the stream, when the connection has been given all that was received before.
-    pub fn offer(&self, upstream_half: UpstreamHalf) {
-        *self.state() = SlotState::Offered(upstream_half);
+    pub fn offer(&self, upstream_half: UpstreamHalf, client_request_id: Option<Arc<str>>) {
+        *self.state() = SlotState::Offered(upstream_half, client_request_id);
+    }
+
+    /// Whether the connection's socket must not be used, as another process may own it.
+    pub fn is_frozen(&self) -> bool {
+        matches!(*self.state(), SlotState::Ready(..) | SlotState::InTransit)
     }
 
-    /// Adds the client's side to an offer, when all that the connection was given is written.
-    pub fn on_flushed(&self, client: impl AsFd) {
+    /// Adds the client's side to an offer, when all that the connection was given is written or part of its state.
+    pub fn on_flushed(&self, client: impl AsFd, connection: impl FnOnce() -> ConnectionState) {
         let mut state = self.state();
         match std::mem::take(&mut *state) {
-            SlotState::Offered(upstream_half) => {
+            SlotState::Offered(upstream_half, client_request_id) => {
                 // Without a descriptor for the client's socket the offer is dropped, and the stream goes on here.
-                if let Ok(client) = client.as_fd().try_clone_to_owned() {
-                    *state = SlotState::Ready {
-                        upstream_half,
-                        client,
-                    };
-                    self.is_ready.notify_one();
+                let Ok(client) = client.as_fd().try_clone_to_owned() else {
+                    return;
+                };
+                // An offer that was withdrawn meanwhile is dropped, too.
+                if !upstream_half.claim.claim() {
+                    return;
                 }
+                let client_half = ClientHalf {
+                    client,
+                    state: ClientState {
+                        client_request_id,
+                        connection: connection(),
+                    },
+                };
+                *state = SlotState::Ready(upstream_half, client_half);
+                self.is_ready.notify_one();
             }
             unchanged => *state = unchanged,
         }
     }
 
-    /// Waits until both sides of the stream are there and sends them to the successor. Returns whether it accepted
-    /// them: if so, this side of the stream is over.
+    /// Waits until both sides of the stream are there and sends them to another process. Returns whether it accepted
+    /// them: if so, this side of the stream is over, else it goes on here. Not to be dropped in between.
     pub async fn migrate(&self, sender: &MigrationSender) -> bool {
-        loop {
+        let (upstream_half, client_half) = loop {
             self.is_ready.notified().await;
-            let SlotState::Ready {
+            let mut state = self.state();
+            match std::mem::take(&mut *state) {
+                SlotState::Ready(upstream_half, client_half) => {
+                    *state = SlotState::InTransit;
+                    break (upstream_half, client_half);
+                }
+                unchanged => *state = unchanged,
+            }
+        };
+        let (migrated, was_migrated) = oneshot::channel();
+        // Without a sender both sides are dropped here, which tells the upstream that the stream goes on.
+        if let Some(sender) = sender {
+            let stream = MigratingStream {
                 upstream_half,
-                client,
-            } = std::mem::take(&mut *self.state())
-            else {
-                continue;
+                client_half,
+                migrated,
             };
-            let (migrated, was_migrated) = oneshot::channel();
-            if let Some(sender) = sender {
-                let stream = MigratingStream {
-                    upstream_half,
-                    client,
-                    migrated,
-                };
-                let _ = sender.send(stream).await;
-            }
-            return was_migrated.await.unwrap_or(false);
+            let _ = sender.streams.send(stream).await;
+        } else {
+            drop((upstream_half, migrated));
+        }
+        let has_migrated = was_migrated.await.unwrap_or(false);
+        if !has_migrated {
+            *self.state() = SlotState::Empty;
         }
+        has_migrated
     }
 }
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -65,7 +65,6 @@
         routes,
         ConnectionLimit::new(max_connections),
         shutdown_receiver,
-        None,
         Logger::root(Discard, o!()),
     ));
     TestListener {
--- a/tests/http_frontend.rs
+++ b/tests/http_frontend.rs
@@ -307,7 +307,6 @@
         routes,
         ConnectionLimit::new(4),
         shutdown,
-        None,
         log,
     ));
     let mut client = Client(TcpStream::connect(address).await.unwrap());
