--- a/tests/migrated_streams.rs
+++ b/tests/migrated_streams.rs
@@ -12,8 +12,9 @@
 mod setup;
 mod testbed;
 
-use setup::{OpenStream, Process, UpgradeSetup};
+use setup::{request, send_signal, OpenStream, Process, UpgradeSetup};
 use testbed::Way;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The decode endpoints pause behind the first event until the test lets them go on.
 async fn setup_with_pausing_endpoints(name: &str) -> UpgradeSetup {
@@ -82,3 +83,100 @@
     assert_whole(&setup, streams).await;
     assert_eq!(successor.exit_code().await, Some(0));
 }
+
+/// A client sends its next request while the stream still comes. Whichever process has the connection then answers it, on
+/// that connection: the client was not told that it ends.
+#[tokio::test]
+async fn request_sent_behind_a_migrating_stream_is_answered() {
+    let setup = setup_with_pausing_endpoints("pipelined").await;
+    let mut current = setup.start_process().await;
+    let mut stream = OpenStream::start(&setup, "first").await;
+    let next_request = request("second");
+    let (read_by_first, read_by_second) = next_request.split_at(next_request.len() / 2);
+    for part in [read_by_first, read_by_second] {
+        stream.connection.write_all(part.as_bytes()).await.unwrap();
+        let successor = setup.start_process().await;
+        upgrade_away(current).await;
+        current = successor;
+    }
+    setup.fleet.go.notify_waiters();
+    let mut response = stream.finish_connected().await;
+    assert!(response.text().ends_with("0\r\n\r\n"));
+    response.received.clear();
+    let both_responses = async {
+        while !response.text().contains(testbed::ANSWER[0]) {
+            let read_bytes = response.connection.read_buf(&mut response.received).await;
+            assert_ne!(read_bytes.unwrap(), 0, "{}", response.text());
+        }
+        setup.fleet.go.notify_waiters();
+        response.finish().await
+    };
+    let second = tokio::time::timeout(std::time::Duration::from_secs(20), both_responses)
+        .await
+        .expect("the second response");
+    assert!(
+        second.starts_with("HTTP/1.1 200") && second.ends_with("0\r\n\r\n"),
+        "{second}"
+    );
+}
+
+/// The process is told to end before its successor has started.
+#[tokio::test]
+async fn streams_migrate_to_a_process_that_starts_after_the_signal() {
+    let setup = setup_with_pausing_endpoints("late").await;
+    let predecessor = setup.start_process().await;
+    let streams = start_streams(&setup, 4).await;
+    predecessor.send_sigterm();
+    predecessor.wait_for_log("listener closed").await;
+    let _successor = setup.start_process().await;
+    assert_eq!(predecessor.exit_code().await, Some(0));
+    assert_whole(&setup, streams).await;
+}
+
+/// The newer process is told to end, and the older one goes on to serve: what the newer one has goes to it.
+#[tokio::test]
+async fn streams_migrate_back_when_an_upgrade_is_taken_back() {
+    let setup = setup_with_pausing_endpoints("back").await;
+    let first = setup.start_process().await;
+    let streams = start_streams(&setup, 4).await;
+    let second = setup.start_process().await;
+    let third = setup.start_process().await;
+    first.send_sigterm();
+    assert_eq!(first.exit_code().await, Some(0));
+    upgrade_away(third).await;
+    assert_whole(&setup, streams).await;
+    drop(second);
+}
+
+/// Both processes are told to end at once, the older one twice: each finishes what it has.
+#[tokio::test]
+async fn streams_are_finished_by_processes_that_all_are_told_to_end() {
+    let setup = setup_with_pausing_endpoints("both").await;
+    let first = setup.start_process().await;
+    let second = setup.start_process().await;
+    let streams = start_streams(&setup, 8).await;
+    for process in [&first, &second, &first] {
+        process.send_sigterm();
+    }
+    first.wait_for_log("listener closed").await;
+    second.wait_for_log("listener closed").await;
+    assert_whole(&setup, streams).await;
+    assert_eq!(first.exit_code().await, Some(0));
+    assert_eq!(second.exit_code().await, Some(0));
+}
+
+/// The successor stands still while it is offered the streams: they go on in the process that has them, and migrate
+/// once it runs again.
+#[tokio::test]
+async fn streams_go_on_here_while_the_successor_stands_still() {
+    let setup = setup_with_pausing_endpoints("stopped").await;
+    let predecessor = setup.start_process().await;
+    let finished_here = start_streams(&setup, 4).await;
+    let successor = setup.start_process().await;
+    send_signal(successor.child.id(), "STOP");
+    predecessor.send_sigterm();
+    predecessor.wait_for_log("not accepted in time").await;
+    assert_whole(&setup, finished_here).await;
+    send_signal(successor.child.id(), "CONT");
+    assert_eq!(predecessor.exit_code().await, Some(0));
+}
--- a/tests/upgrade/setup.rs
+++ b/tests/upgrade/setup.rs
@@ -238,8 +238,8 @@
 
 /// A response whose first event has come, on a connection of its own.
 pub(crate) struct OpenStream {
-    connection: BufReader<TcpStream>,
-    received: Vec<u8>,
+    pub connection: BufReader<TcpStream>,
+    pub received: Vec<u8>,
 }
 
 impl OpenStream {
@@ -261,18 +261,35 @@
         }
     }
 
+    /// What has been received so far.
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.received).into_owned()
+    }
+
     /// Reads up to the last chunk, or to the connection's end where that comes first; returns all of the response.
-    pub(crate) async fn finish(mut self) -> String {
+    pub(crate) async fn finish(self) -> String {
+        self.finish_connected().await.text()
+    }
+
+    /// The same, with the connection.
+    pub(crate) async fn finish_connected(mut self) -> OpenStream {
         while !self.received.ends_with(b"0\r\n\r\n") {
             match self.connection.read_buf(&mut self.received).await {
                 Ok(0) | Err(_) => break,
                 Ok(_) => {}
             }
         }
-        String::from_utf8(self.received).unwrap()
+        self
     }
 }
 
+/// Sends a signal, named without its `SIG`.
+pub(crate) fn send_signal(process_id: u32, signal: &str) {
+    let command = format!("kill -{signal} {process_id}");
+    let status = Command::new("sh").arg("-c").arg(command).status().unwrap();
+    assert!(status.success());
+}
+
 async fn read_line(connection: &mut BufReader<TcpStream>) -> Option<String> {
     let mut line = String::new();
     if connection.read_line(&mut line).await.ok()? == 0 {
@@ -333,9 +350,7 @@
     }
 
     pub(crate) fn send_sigterm(&self) {
-        let command = format!("kill -TERM {}", self.child.id());
-        let status = Command::new("sh").arg("-c").arg(command).status().unwrap();
-        assert!(status.success());
+        send_signal(self.child.id(), "TERM");
     }
 
     pub(crate) async fn exit_code(mut self) -> Option<i32> {
