--- /dev/null
+++ b/tests/received_streams.rs
@@ -0,0 +1,382 @@
+//! Streams that another process has begun are served as those that this one took itself: on a paused clock, with the
+//! dispatcher's core, backend and listener in this process.
+
+mod testbed;
+
+use bytes::Bytes;
+use miniserde::json;
+use quartzhall::backend::{self, StreamMigration};
+use quartzhall::config::{Deployment, SettingsObject};
+use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle};
+use quartzhall::frontend::http::StreamResumer;
+use quartzhall::frontend::listener::{self, PeerStreams};
+use quartzhall::frontend::memory_budget::BodyMemoryBudget;
+use quartzhall::frontend::{http, ShutdownPhase};
+use quartzhall::net::connection_limit::ConnectionLimit;
+use quartzhall::net::message_framing::ChunkedDecoder;
+use quartzhall::upgrade::stream_migration::{
+    self, migration_signal, ClientState, ConnectionState, MigratingStream, MigrationHandle,
+    ReceivedStream, ReceivedUpstream, ReceiverProcess, UpstreamState,
+};
+use slog::{o, Discard, Logger};
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UnixListener};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout, Instant};
+
+const MAX_CONNECTIONS: usize = 4;
+/// Events of 16 KB that are more than the buffers of all sockets of a stream hold.
+const MANY_EVENTS: usize = 1_000;
+/// An event, as a chunk.
+const CHUNK: &str = "9\r\ndata: 1\n\n\r\n";
+const LAST_CHUNK: &str = "0\r\n\r\n";
+const GET_READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// A process that receives streams.
+struct Receiver {
+    streams: mpsc::Sender<ReceivedStream>,
+    dispatcher: DispatcherHandle,
+    clients: ConnectionLimit,
+    endpoints: ConnectionLimit,
+    shutdown: watch::Sender<ShutdownPhase>,
+    set_migration_due: watch::Sender<bool>,
+    migrating: mpsc::Receiver<MigratingStream>,
+    served: JoinHandle<()>,
+}
+
+impl Receiver {
+    async fn start() -> Receiver {
+        let log = Logger::root(Discard, o!());
+        let settings: SettingsObject = json::from_str(testbed::PROFILE).unwrap();
+        let deployment = Arc::new(Deployment::new(&settings).unwrap());
+        let clock = Clock::start();
+        let (dispatcher, events) = dispatcher::channel(deployment.clone());
+        let core = Core::new(deployment.clone(), 100, 7, clock.now(), log.clone());
+        let (commands, backend_commands) = mpsc::channel(64);
+        tokio::spawn(dispatcher::run(core, clock, events, commands, None, None));
+        let (set_migration_due, signal) = migration_signal();
+        let (attempts, received_attempts) = mpsc::channel(4);
+        let endpoints = ConnectionLimit::new(MAX_CONNECTIONS);
+        tokio::spawn(backend::run(
+            backend_commands,
+            dispatcher.clone(),
+            deployment.bounds,
+            endpoints.clone(),
+            HashSet::new(),
+            StreamMigration {
+                signal: signal.clone(),
+                received_attempts,
+            },
+            log.clone(),
+        ));
+        let (shutdown, phase) = watch::channel(ShutdownPhase::Serving);
+        let (streams, received) = mpsc::channel(4);
+        let (migrating_streams, migrating) = mpsc::channel(4);
+        let peer_streams = PeerStreams {
+            migration: Some(MigrationHandle {
+                streams: migrating_streams,
+                signal,
+            }),
+            received,
+            resumer: Some(StreamResumer {
+                dispatcher: dispatcher.clone(),
+                attempts,
+            }),
+            // It does not accept clients yet.
+            accepts: watch::channel(false).1,
+        };
+        let clients = ConnectionLimit::new(MAX_CONNECTIONS);
+        let body_memory = BodyMemoryBudget::new(1_000);
+        let served = tokio::spawn(listener::serve_beside_peers(
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            http::routes(dispatcher.clone(), body_memory, log.clone()),
+            clients.clone(),
+            phase,
+            peer_streams,
+            log,
+        ));
+        Receiver {
+            streams,
+            dispatcher,
+            clients,
+            endpoints,
+            shutdown,
+            set_migration_due,
+            migrating,
+            served,
+        }
+    }
+
+    /// Hands a stream over, and returns the far ends of its sockets.
+    async fn receive(&self, silent_for: Duration, connection: ConnectionState) -> Stream {
+        let (client_socket, client) = socket_pair().await;
+        let (upstream_socket, endpoint) = socket_pair().await;
+        let received = ReceivedStream {
+            client: client_socket,
+            client_state: ClientState {
+                client_request_id: Some("received".into()),
+                connection,
+            },
+            upstream: ReceivedUpstream {
+                socket: upstream_socket,
+                state: UpstreamState {
+                    chunks: ChunkedDecoder::default(),
+                    partial_event: Bytes::new(),
+                    silent_for,
+                },
+            },
+        };
+        self.streams.send(received).await.unwrap();
+        Stream { client, endpoint }
+    }
+
+    /// Waits until this many requests are open.
+    async fn wait_for_open_requests(&self, count: usize) {
+        let wait = async {
+            while self.dispatcher.open_requests() != count {
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(Duration::from_secs(10), wait).await.unwrap();
+    }
+}
+
+async fn socket_pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (connected, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+    let (accepted, connected) = (accepted.unwrap().0, connected.unwrap());
+    // Otherwise a second small write would wait for the first one's acknowledgement, in real time.
+    connected.set_nodelay(true).unwrap();
+    (accepted, connected)
+}
+
+fn kept_connection() -> ConnectionState {
+    ConnectionState {
+        unsent: Bytes::new(),
+        pipelined: Bytes::new(),
+        closes: false,
+    }
+}
+
+/// The client and the endpoint of a stream.
+struct Stream {
+    client: TcpStream,
+    endpoint: TcpStream,
+}
+
+impl Stream {
+    async fn send(&mut self, text: &str) {
+        self.endpoint.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads until the client has this text at the end; empty: until the connection's end.
+    async fn read_until(&mut self, suffix: &str) -> String {
+        let mut text = Vec::new();
+        while suffix.is_empty() || !text.ends_with(suffix.as_bytes()) {
+            match self.client.read_buf(&mut text).await {
+                Ok(0) | Err(_) => break,
+                Ok(_) => {}
+            }
+        }
+        String::from_utf8(text).unwrap()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn received_stream_is_whole_counted_and_its_connection_kept() {
+    let receiver = Receiver::start().await;
+    let mut stream = receiver.receive(Duration::ZERO, kept_connection()).await;
+    stream.send(CHUNK).await;
+    assert_eq!(stream.read_until(CHUNK).await, CHUNK);
+    assert_eq!(receiver.dispatcher.open_requests(), 1);
+    assert_eq!(
+        (receiver.clients.in_use(), receiver.endpoints.in_use()),
+        (1, 1)
+    );
+    stream.send(&[CHUNK, LAST_CHUNK].concat()).await;
+    let rest = stream.read_until(LAST_CHUNK).await;
+    assert_eq!(rest, [CHUNK, LAST_CHUNK].concat());
+    receiver.wait_for_open_requests(0).await;
+    assert_eq!(receiver.endpoints.in_use(), 0);
+    // The client was not told that the connection ends, and sends on it.
+    stream.client.write_all(GET_READY.as_bytes()).await.unwrap();
+    assert!(stream.read_until("\n").await.starts_with("HTTP/1.1 503"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn connection_ends_with_the_response_where_the_client_was_told_so() {
+    let receiver = Receiver::start().await;
+    let mut connection = kept_connection();
+    connection.closes = true;
+    let mut stream = receiver.receive(Duration::ZERO, connection).await;
+    stream.send(&[CHUNK, LAST_CHUNK].concat()).await;
+    assert_eq!(stream.read_until("").await, [CHUNK, LAST_CHUNK].concat());
+}
+
+/// What the client had not taken comes first, and what it has sent ahead is answered.
+#[tokio::test(start_paused = true)]
+async fn buffered_bytes_of_the_connection_come_along() {
+    let receiver = Receiver::start().await;
+    let connection = ConnectionState {
+        unsent: Bytes::from_static(b"ata: 0\n\n\r\n"),
+        pipelined: Bytes::from_static(GET_READY.as_bytes()),
+        closes: false,
+    };
+    let mut stream = receiver.receive(Duration::ZERO, connection).await;
+    stream.send(&[CHUNK, LAST_CHUNK].concat()).await;
+    let text = stream.read_until("starting\n").await;
+    let response = ["ata: 0\n\n\r\n", CHUNK, LAST_CHUNK].concat();
+    assert!(text.starts_with(&response), "{text}");
+    assert!(text[response.len()..].starts_with("HTTP/1.1 503"), "{text}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_endpoint_is_waited_for_as_long_as_one_of_an_own_stream() {
+    let receiver = Receiver::start().await;
+    let mut stream = receiver.receive(Duration::ZERO, kept_connection()).await;
+    receiver.wait_for_open_requests(1).await;
+    sleep(Duration::from_millis(4_400)).await;
+    stream.send(CHUNK).await;
+    assert_eq!(stream.read_until(CHUNK).await, CHUNK);
+    let silent_since = Instant::now();
+    assert_eq!(stream.read_until("").await, "", "without the last chunk");
+    let silence = silent_since.elapsed();
+    assert!(silence > Duration::from_millis(4_600) && silence < Duration::from_millis(4_900));
+    receiver.wait_for_open_requests(0).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_before_the_migration_counts() {
+    let receiver = Receiver::start().await;
+    let started_at = Instant::now();
+    let silent_for = Duration::from_millis(3_000);
+    let mut stream = receiver.receive(silent_for, kept_connection()).await;
+    assert_eq!(stream.read_until("").await, "");
+    let silence = started_at.elapsed();
+    assert!(silence > Duration::from_millis(1_600) && silence < Duration::from_millis(1_900));
+}
+
+#[tokio::test(start_paused = true)]
+async fn broken_stream_ends_without_the_last_chunk() {
+    let receiver = Receiver::start().await;
+    let mut stream = receiver.receive(Duration::ZERO, kept_connection()).await;
+    stream.send(CHUNK).await;
+    assert_eq!(stream.read_until(CHUNK).await, CHUNK);
+    stream.endpoint.shutdown().await.unwrap();
+    assert_eq!(stream.read_until("").await, "");
+    receiver.wait_for_open_requests(0).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn endpoint_is_left_when_the_client_leaves() {
+    let receiver = Receiver::start().await;
+    let stream = receiver.receive(Duration::ZERO, kept_connection()).await;
+    receiver.wait_for_open_requests(1).await;
+    let Stream {
+        client,
+        mut endpoint,
+    } = stream;
+    drop(client);
+    let mut rest = Vec::new();
+    let left = timeout(Duration::from_millis(100), endpoint.read_to_end(&mut rest)).await;
+    assert!(left.is_ok());
+    receiver.wait_for_open_requests(0).await;
+}
+
+/// Streams come while all permits are in use: they are served, and counted beyond the limit.
+#[tokio::test(start_paused = true)]
+async fn received_streams_count_beyond_the_limits() {
+    let receiver = Receiver::start().await;
+    let count = MAX_CONNECTIONS + 3;
+    let mut streams = Vec::new();
+    for _ in 0..count {
+        streams.push(receiver.receive(Duration::ZERO, kept_connection()).await);
+    }
+    receiver.wait_for_open_requests(count).await;
+    for stream in &mut streams {
+        stream.send(CHUNK).await;
+        assert_eq!(stream.read_until(CHUNK).await, CHUNK);
+    }
+    for limit in [&receiver.clients, &receiver.endpoints] {
+        assert_eq!((limit.in_use(), limit.over_limit()), (count, 3));
+    }
+    drop(streams);
+    receiver.wait_for_open_requests(0).await;
+    assert_eq!(receiver.clients.over_limit(), 0);
+}
+
+/// The process is told to end: it finishes what it has received, and takes more up to the end of the last stream.
+#[tokio::test(start_paused = true)]
+async fn process_that_closes_finishes_received_streams_and_then_takes_none() {
+    let receiver = Receiver::start().await;
+    let mut first = receiver.receive(Duration::ZERO, kept_connection()).await;
+    receiver.wait_for_open_requests(1).await;
+    receiver.shutdown.send(ShutdownPhase::Closing).unwrap();
+    first.send(CHUNK).await;
+    assert_eq!(first.read_until(CHUNK).await, CHUNK);
+    let mut second = receiver.receive(Duration::ZERO, kept_connection()).await;
+    for stream in [&mut first, &mut second] {
+        stream.send(LAST_CHUNK).await;
+        assert!(stream.read_until("").await.ends_with(LAST_CHUNK));
+    }
+    receiver.served.await.unwrap();
+    assert!(receiver.streams.reserve().await.is_err());
+}
+
+/// A received stream migrates again, although its client takes nothing: what it has not taken goes along.
+#[tokio::test(start_paused = true)]
+async fn stream_of_a_stalled_client_migrates_and_is_whole() {
+    let mut first = Receiver::start().await;
+    let second = Receiver::start().await;
+    let socket_path = std::env::temp_dir().join(format!(
+        "quartzhall-received-{}-stalled.sock",
+        std::process::id()
+    ));
+    let listener = UnixListener::bind(&socket_path).unwrap();
+    let log = Logger::root(Discard, o!());
+    tokio::spawn(stream_migration::receive_streams(
+        listener,
+        second.streams.clone(),
+        log.clone(),
+    ));
+    let process = ReceiverProcess {
+        started_at: 1,
+        socket_path: socket_path.clone(),
+    };
+    let migrating = std::mem::replace(&mut first.migrating, mpsc::channel(1).1);
+    tokio::spawn(stream_migration::send_streams(
+        move || Some(process.clone()),
+        migrating,
+        log,
+    ));
+    let Stream {
+        mut client,
+        mut endpoint,
+    } = first.receive(Duration::ZERO, kept_connection()).await;
+    // More than the sockets' buffers hold, so that back-pressure reaches the endpoint.
+    let event = format!("data: {}\n\n", "x".repeat(16_376));
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    let response = [chunk.repeat(MANY_EVENTS), LAST_CHUNK.to_owned()].concat();
+    let written = response.clone();
+    let endpoint = tokio::spawn(async move {
+        endpoint.write_all(written.as_bytes()).await.unwrap();
+        endpoint
+    });
+    // The clock moves on only while nothing else does: by then all buffers are full.
+    sleep(Duration::from_millis(500)).await;
+    assert!(!endpoint.is_finished());
+    first.set_migration_due.send(true).unwrap();
+    second.wait_for_open_requests(1).await;
+    first.wait_for_open_requests(0).await;
+    let mut received = vec![0; response.len()];
+    client.read_exact(&mut received).await.unwrap();
+    assert!(received == response.as_bytes(), "every byte once, in order");
+    endpoint.await.unwrap();
+    second.wait_for_open_requests(0).await;
+    std::fs::remove_file(socket_path).unwrap();
+}
