Soak: upgrades in series on inherited sockets, streams that outlast them, crowds, short deadlines

Even-numbered dispatchers inherit their socket and are upgraded one to four times, 0.1 to 14 s apart, with failed starts, a third process beside two, repeated SIGTERM and SIGHUP, and SIGKILL at the earliest. Streams last up to 15 s, with pauses, large events and clients that read late or slowly; some clients keep their connections. New invariants: StreamCut (a stream whose replica goes on and whose client stays is whole) and LateEvent (0.3 s by the replica's time stamp).

--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -4,6 +4,7 @@
 
 use std::error::Error;
 use std::fmt;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
@@ -141,11 +142,28 @@
     }
 }
 
+/// What a process of a dispatcher has in common with those beside it during an upgrade.
+pub struct Inheritance {
+    /// A duplicate of the platform's listening socket.
+    pub socket: OwnedFd,
+    /// The folder through which the processes find each other.
+    pub shared_folder: PathBuf,
+    /// Where this process alone answers operators.
+    pub management: String,
+    /// How many descriptors it may have.
+    pub max_descriptors: u32,
+}
+
+/// The number that the inherited socket has in the process.
+const INHERITED_DESCRIPTOR: &str = "5";
+
 /// A real dispatcher, killed on drop.
 pub struct Dispatcher {
     child: Child,
     /// Where clients connect.
     pub address: String,
+    /// Where operators are answered, if this is one of several processes at the address.
+    management: Option<String>,
     /// Its process id.
     pub process_id: u32,
     config: PathBuf,
@@ -164,6 +182,7 @@
         name: &str,
         address: String,
         config: &str,
+        inheritance: Option<Inheritance>,
     ) -> Result<Dispatcher, ProcessError> {
         let file_error = |source| ProcessError::File {
             name: name.to_owned(),
@@ -172,10 +191,12 @@
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, config).map_err(file_error)?;
         let log = std::fs::File::create(folder.join(format!("{name}.log"))).map_err(file_error)?;
-        let child = Command::new(program)
+        let management = inheritance
+            .as_ref()
+            .map(|inheritance| inheritance.management.clone());
+        let child = command(program, inheritance)
             .args(["serve", "--config"])
             .arg(&path)
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .kill_on_drop(true)
@@ -192,6 +213,7 @@
         Ok(Dispatcher {
             child,
             address,
+            management,
             process_id,
             config: path,
             started: Instant::now(),
@@ -218,6 +240,13 @@
     }
 
     async fn is_ready(&self) -> bool {
+        match &self.management {
+            Some(management) => answers_ready(management).await,
+            None => self.serves_ready().await,
+        }
+    }
+
+    async fn serves_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(&self.address).await else {
             return false;
         };
@@ -235,12 +264,31 @@
     /// # Errors
     ///
     /// Fails if the dispatcher exits with an error, or not within 15 s.
-    pub async fn terminate(mut self) -> Result<(), ProcessError> {
+    pub async fn terminate(self) -> Result<(), ProcessError> {
+        self.signal("TERM").await?;
+        self.wait_for_exit().await
+    }
+
+    /// Sends a signal, named without its `SIG`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it could not be sent.
+    pub async fn signal(&self, name: &str) -> Result<(), ProcessError> {
         Command::new("sh")
-            .args(["-c", &format!("kill -TERM {}", self.process_id)])
+            .args(["-c", &format!("kill -{name} {}", self.process_id)])
             .status()
             .await
             .map_err(ProcessError::Terminate)?;
+        Ok(())
+    }
+
+    /// Waits for the exit.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the dispatcher exits with an error, or not within 15 s.
+    pub async fn wait_for_exit(mut self) -> Result<(), ProcessError> {
         let config = self.config.clone();
         match timeout(EXIT_TIMEOUT, self.child.wait()).await {
             Ok(Ok(status)) if status.success() => Ok(()),
@@ -250,3 +298,36 @@
         }
     }
 }
+
+/// The program, with what it inherits: a shell puts the socket where the platform does.
+fn command(program: &Path, inheritance: Option<Inheritance>) -> Command {
+    let Some(inheritance) = inheritance else {
+        let mut command = Command::new(program);
+        command.stdin(Stdio::null());
+        return command;
+    };
+    let script = format!(
+        "ulimit -n {}; exec {INHERITED_DESCRIPTOR}<&0 0</dev/null; exec \"$0\" \"$@\"",
+        inheritance.max_descriptors
+    );
+    let mut command = Command::new("sh");
+    command
+        .args(["-c", &script])
+        .arg(program)
+        .env("GW_SOCKET_FD", INHERITED_DESCRIPTOR)
+        .env("GW_MANAGEMENT", inheritance.management)
+        .env("TMPDIR", inheritance.shared_folder)
+        .stdin(Stdio::from(inheritance.socket));
+    command
+}
+
+/// Whether the process at this management address says that it accepts clients.
+async fn answers_ready(management: &str) -> bool {
+    let Ok(mut stream) = TcpStream::connect(management).await else {
+        return false;
+    };
+    let mut answer = String::new();
+    stream.write_all(b"ready\n").await.is_ok()
+        && stream.read_to_string(&mut answer).await.is_ok()
+        && answer.starts_with("ACK")
+}
--- a/crates/scale/src/run/real.rs
+++ b/crates/scale/src/run/real.rs
@@ -59,6 +59,7 @@
                 &name,
                 addresses.listen,
                 &config,
+                None,
             )?;
             let after = process.wait_until_ready().await?;
             let Some(sample) = sample(process.process_id) else {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,9 +1,11 @@
-//! Load generation: each client sends one request on a connection of its own, and some clients disconnect early.
+//! Load generation: most clients send one request on a connection of their own, some keep their connection, some disconnect
+//! early, some read slowly.
 //!
-//! The module holds no state; what a client observes is recorded in the [`Oracle`].
+//! What a client observes is recorded in the [`Oracle`].
 
-use crate::config::{IDEMPOTENT_CLASS, MAX_DEADLINE, NON_IDEMPOTENT_CLASS};
+use crate::config::{IDEMPOTENT_CLASS, NON_IDEMPOTENT_CLASS};
 use crate::oracle::Oracle;
+use crate::stream_plan::{written_at, StreamPlan};
 use crate::wire::split_head;
 use rand::Rng;
 use rand_pcg::Pcg32;
@@ -11,12 +13,23 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Fraction of the requests that must not run twice.
 const NON_IDEMPOTENT_FRACTION: f64 = 0.3;
 /// Fraction of the clients that disconnect before their response.
 const EARLY_DISCONNECT_FRACTION: f64 = 0.1;
+/// The shortest deadline of a client, unless the settings have a shorter one.
+const MIN_DEADLINE_MS: u64 = 900;
+/// How a stream ends that is whole.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// A client that gets nothing of its stream for so long leaves.
+const MAX_SILENCE: Duration = Duration::from_secs(8);
+/// Bytes that are read at once.
+const READ_BYTES: usize = 64 * 1024;
+/// Bytes that a slow client reads at once, and how often.
+const SLOW_READ_BYTES: usize = 16 * 1024;
+const SLOW_READ_INTERVAL: Duration = Duration::from_millis(60);
 /// How long a client waits beyond its deadline; the oracle has judged by then.
 const MAX_OVERTIME: Duration = Duration::from_secs(4);
 
@@ -28,6 +41,8 @@
     pub address: String,
     /// Records what clients observe.
     pub oracle: Arc<Oracle>,
+    /// The faults include a kill of this dispatcher.
+    pub may_be_killed: bool,
 }
 
 /// One randomly drawn request.
@@ -36,15 +51,35 @@
     is_non_idempotent: bool,
     deadline: Duration,
     disconnect_after: Option<Duration>,
-    text: String,
+    head: String,
+    body: String,
+    reading: Reading,
+}
+
+/// How a client reads its stream.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    /// As it comes.
+    AtOnce,
+    /// Nothing for this long, then all.
+    After(Duration),
+    /// Some bytes at a time.
+    Slowly,
 }
 
 impl ClientRequest {
     /// Draws request `number` to dispatcher `process`.
-    pub fn draw(process: usize, number: u64, rng: &mut Pcg32) -> ClientRequest {
+    pub fn draw(
+        process: usize,
+        number: u64,
+        max_deadline: Duration,
+        rng: &mut Pcg32,
+    ) -> ClientRequest {
         let id = format!("{process:04x}{number:012x}");
         let is_non_idempotent = rng.gen_bool(NON_IDEMPOTENT_FRACTION);
-        let deadline = Duration::from_millis(rng.gen_range(900..=MAX_DEADLINE.as_millis() as u64));
+        let max_deadline_ms = max_deadline.as_millis() as u64;
+        let min_deadline_ms = MIN_DEADLINE_MS.min(max_deadline_ms * 4 / 5);
+        let deadline = Duration::from_millis(rng.gen_range(min_deadline_ms..=max_deadline_ms));
         let disconnect_after = if rng.gen_bool(EARLY_DISCONNECT_FRACTION) {
             Some(Duration::from_millis(rng.gen_range(20..900)))
         } else {
@@ -59,29 +94,100 @@
         let session = rng.gen_range(0..200);
         let prompt_tokens = rng.gen_range(100..2_000);
         let body = "x".repeat(prompt_tokens);
-        let text = format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Customer: acme\r\nX-Object: {session:x}\r\nX-Expires-In-Ms: {expires}\r\nX-Props: prompt_len={prompt_tokens},max_out=50\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Customer: acme\r\nX-Object: {session:x}\r\nX-Expires-In-Ms: {expires}\r\nX-Props: prompt_len={prompt_tokens},max_out=50\r\n"
         );
         ClientRequest {
             id,
             is_non_idempotent,
             deadline,
             disconnect_after,
-            text,
+            head,
+            body,
+            reading: Reading::AtOnce,
         }
     }
+
+    /// The same request, whose stream outlasts upgrades; its client may read slowly.
+    pub fn with_long_stream(mut self, rng: &mut Pcg32) -> ClientRequest {
+        let plan = StreamPlan::draw(rng);
+        self.body = plan.request_body();
+        self.reading = match rng.gen_range(0..10) {
+            0 => Reading::After(Duration::from_millis(rng.gen_range(500..5_000))),
+            1 => Reading::Slowly,
+            _ => Reading::AtOnce,
+        };
+        self
+    }
+
+    fn text(&self) -> String {
+        let length = self.body.len();
+        format!("{}Content-Length: {length}\r\n\r\n{}", self.head, self.body)
+    }
 }
 
 /// Sends a request on a connection of its own and records the response in the oracle.
 pub async fn send_request(target: Arc<Target>, request: ClientRequest) {
-    let started = Instant::now();
     let Ok(mut stream) = TcpStream::connect(&target.address).await else {
         return;
     };
     let _ = stream.set_nodelay(true);
-    if stream.write_all(request.text.as_bytes()).await.is_err() {
-        return;
+    let _ = exchange(&target, &request, &mut stream).await;
+}
+
+/// A client that sends its requests on one connection, for as long as that stays open.
+pub struct KeptConnection {
+    target: Arc<Target>,
+    stream: Option<TcpStream>,
+}
+
+impl KeptConnection {
+    /// A client that has not connected yet.
+    pub fn new(target: Arc<Target>) -> KeptConnection {
+        KeptConnection {
+            target,
+            stream: None,
+        }
+    }
+
+    /// Sends a request and records the response in the oracle. Where the connection's close crosses the request, it is sent
+    /// once more on a new one.
+    pub async fn send(&mut self, request: ClientRequest) {
+        if let Some(mut stream) = self.stream.take() {
+            match exchange(&self.target, &request, &mut stream).await {
+                Exchange::Kept => {
+                    self.stream = Some(stream);
+                    return;
+                }
+                Exchange::Ended => return,
+                Exchange::Crossed => {}
+            }
+        }
+        let Ok(mut stream) = TcpStream::connect(&self.target.address).await else {
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        if let Exchange::Kept = exchange(&self.target, &request, &mut stream).await {
+            self.stream = Some(stream);
+        }
+    }
+}
+
+/// How a request and its response have left the connection.
+enum Exchange {
+    /// It can be used again.
+    Kept,
+    /// It has ended, or has to.
+    Ended,
+    /// It had ended when the request came.
+    Crossed,
+}
+
+async fn exchange(target: &Target, request: &ClientRequest, stream: &mut TcpStream) -> Exchange {
+    let started = Instant::now();
+    let is_closed = crate::wire::is_closed(stream);
+    if is_closed || stream.write_all(request.text().as_bytes()).await.is_err() {
+        return Exchange::Crossed;
     }
     let oracle = &target.oracle;
     oracle.on_request_sent(
@@ -93,26 +199,92 @@
     let max_wait = request
         .disconnect_after
         .unwrap_or(request.deadline + MAX_OVERTIME);
-    let Ok(response) = timeout(max_wait, read_response_head(&mut stream)).await else {
-        drop(stream);
+    let Ok(response) = timeout(max_wait, read_response_head(stream)).await else {
         if request.disconnect_after.is_some() {
+            let _ = stream.shutdown().await;
             oracle.on_client_disconnected(&request.id);
         }
-        return;
+        return Exchange::Ended;
+    };
+    let Some(head) = response else {
+        let is_excused = target.may_be_killed && oracle.was_killed_since(target.process, started);
+        oracle.on_closed_without_response(&request.id, is_excused);
+        return Exchange::Ended;
     };
-    let Some((status, mut body)) = response else {
-        let is_excused = oracle.was_killed_since(target.process, started);
-        return oracle.on_closed_without_response(&request.id, is_excused);
+    oracle.on_response(&request.id, head.status);
+    let keeps_connection = head.keeps_connection;
+    if head.status != 200 {
+        return Exchange::Ended;
+    }
+    let is_complete = read_stream(target, request, stream, head.body).await;
+    if is_complete && keeps_connection {
+        Exchange::Kept
+    } else {
+        Exchange::Ended
+    }
+}
+
+/// Reads a stream to its end; returns whether that was its last chunk.
+async fn read_stream(
+    target: &Target,
+    request: &ClientRequest,
+    stream: &mut TcpStream,
+    mut body: Vec<u8>,
+) -> bool {
+    if let Reading::After(pause) = request.reading {
+        sleep(pause).await;
+    }
+    let chunk_bytes = match request.reading {
+        Reading::Slowly => SLOW_READ_BYTES,
+        _ => READ_BYTES,
     };
-    oracle.on_response(&request.id, status);
-    if status == 200 {
-        let _ = timeout(MAX_OVERTIME, stream.read_to_end(&mut body)).await;
-        oracle.on_stream_ended(&request.id, body.ends_with(b"0\r\n\r\n"));
+    let mut chunk = vec![0; chunk_bytes];
+    let mut checked = 0;
+    if request.reading == Reading::AtOnce {
+        checked = check_events(target, request, &body);
     }
+    while !body.ends_with(LAST_CHUNK) {
+        match timeout(MAX_SILENCE, stream.read(&mut chunk)).await {
+            Ok(Ok(count @ 1..)) => body.extend_from_slice(&chunk[..count]),
+            _ => break,
+        }
+        match request.reading {
+            Reading::AtOnce => {
+                checked += check_events(target, request, &body[checked..]);
+            }
+            Reading::Slowly => sleep(SLOW_READ_INTERVAL).await,
+            Reading::After(_) => {}
+        }
+    }
+    let is_complete = body.ends_with(LAST_CHUNK);
+    target.oracle.on_stream_ended(&request.id, is_complete);
+    is_complete
+}
+
+/// Reports how late the whole events in these bytes are, and returns how many bytes they have.
+fn check_events(target: &Target, request: &ClientRequest, bytes: &[u8]) -> usize {
+    let Some(end) = bytes.windows(2).rposition(|window| window == b"\n\n") else {
+        return 0;
+    };
+    let text = String::from_utf8_lossy(&bytes[..end]);
+    for line in text.lines() {
+        if let Some(written_at) = written_at(line) {
+            target.oracle.on_event(&request.id, written_at);
+        }
+    }
+    end
+}
+
+/// The head of a response.
+struct ResponseHead {
+    status: u16,
+    keeps_connection: bool,
+    /// The bytes that followed it.
+    body: Vec<u8>,
 }
 
-/// Reads a response's head: its status, and the bytes that followed the head; `None` if the connection ends before.
-async fn read_response_head(stream: &mut TcpStream) -> Option<(u16, Vec<u8>)> {
+/// Reads a response's head; `None` if the connection ends before.
+async fn read_response_head(stream: &mut TcpStream) -> Option<ResponseHead> {
     let mut received = Vec::new();
     let mut chunk = [0; 4096];
     loop {
@@ -124,7 +296,10 @@
         let Some((head, body_start)) = split_head(&received) else {
             continue;
         };
-        let status = head.split(' ').nth(1)?.parse().ok()?;
-        return Some((status, received.split_off(body_start)));
+        return Some(ResponseHead {
+            status: head.split(' ').nth(1)?.parse().ok()?,
+            keeps_connection: !head.to_ascii_lowercase().contains("connection: close"),
+            body: received.split_off(body_start),
+        });
     }
 }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -10,6 +10,10 @@
 pub const DRAIN_GRACE: Duration = Duration::from_millis(300);
 /// The longest time that clients wait for a first token; the deadline in the settings.
 pub const MAX_DEADLINE: Duration = Duration::from_millis(4_000);
+/// The deadline in the settings of runs with short ones.
+pub const SHORT_DEADLINE: Duration = Duration::from_millis(500);
+/// How many descriptors a process may have.
+pub const MAX_DESCRIPTORS: u32 = 512;
 /// The class whose requests may run any number of times.
 pub const IDEMPOTENT_CLASS: &str = "chat";
 /// The class whose requests must not run twice.
@@ -22,12 +26,13 @@
     seed: u64,
     listen: &str,
     discovery: &str,
+    max_deadline: Duration,
 ) -> String {
     let release = RELEASE_WITHIN.as_millis();
-    let deadline = MAX_DEADLINE.as_millis();
+    let deadline = max_deadline.as_millis();
     format!(
         r#"{{"name":"p{number}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":{MAX_DESCRIPTORS}}},
  "settings":{{"balancers":{processes},"me":{number},"zone":"zone-0","dcs":["zone-0"],"tick":4.0,"over_share_worth":0.2,
  "classes":[
   {{"name":"{IDEMPOTENT_CLASS}","aim":1500.0,"deadline":{deadline}.0,"repeat":"free","group":"all","key_ttl":0.0,"worth":1.0}},
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,4 +15,5 @@
 mod request_history;
 pub mod run;
 pub mod schedule;
+pub mod stream_plan;
 pub mod wire;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! The soak's command line.
 
 use clap::Parser;
+use quartzhall_soak::config::{MAX_DEADLINE, SHORT_DEADLINE};
 use quartzhall_soak::error::SoakError;
 use quartzhall_soak::oracle::Violation;
 use quartzhall_soak::run::{run, RunPlan};
@@ -11,6 +12,9 @@
 
 /// Log lines that are printed of each file for a violation.
 const MAX_LOG_LINES: usize = 20;
+/// One seed in so many has crowds of idle clients, and one in so many has short deadlines.
+const CROWD_SEEDS: u64 = 4;
+const SHORT_DEADLINE_SEEDS: u64 = 5;
 /// The exit code if the bench could not be set up.
 const SETUP_FAILED: u8 = 2;
 
@@ -84,18 +88,26 @@
                 prefill_replicas: arguments.prefill_replicas,
                 replicas: arguments.prefill_replicas + arguments.decode_replicas,
                 load_duration: Duration::from_secs(arguments.seconds),
+                has_crowds: seed.is_multiple_of(CROWD_SEEDS),
             },
             rate: arguments.rate,
+            max_deadline: if seed.is_multiple_of(SHORT_DEADLINE_SEEDS) {
+                SHORT_DEADLINE
+            } else {
+                MAX_DEADLINE
+            },
             program: arguments.program.clone(),
             folder: folder.clone(),
         };
         let result = run(plan).await?;
         println!(
-            "seed {seed}: {} faults, {} served, {} refused, {} failed, {} breaches",
+            "seed {seed}: {} faults, {} upgrades, {} served, {} refused, {} failed, latest event {} ms, {} breaches",
             result.faults,
+            result.upgrades,
             result.counts.served,
             result.counts.shed,
             result.counts.failed,
+            result.worst_event_delay.as_millis(),
             result.violations.len()
         );
         for violation in &result.violations {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -4,6 +4,7 @@
 //! fault flags and knows its open connections; what it observes goes to the [`Oracle`].
 
 use crate::oracle::{AttemptArrival, AttemptOutcome, Oracle};
+use crate::stream_plan::{self, StreamPlan};
 use crate::wire::{self, Message};
 use quartzhall::routing::api::Role;
 use rand::{Rng, SeedableRng};
@@ -19,10 +20,6 @@
 
 /// Between two checks of the fault flags.
 const FLAG_POLL_INTERVAL: Duration = Duration::from_millis(4);
-/// Events of a stream.
-const EVENTS_PER_STREAM: u32 = 4;
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Work times are drawn from this to the role's maximum, in milliseconds.
 const MIN_WORK_MS: u64 = 5;
 const MAX_PREFILL_MS: u64 = 150;
@@ -260,14 +257,15 @@
             draining_for: (self.drain_notifications)(connection.process, self.number),
         };
         self.oracle.on_attempt_arrived(&id, arrival);
-        let (outcome, result) = self.execute(connection, &id).await;
+        let plan = StreamPlan::of_request(&message.body);
+        let (outcome, result) = self.execute(connection, &id, plan).await;
         self.oracle
             .on_attempt_ended(&id, self.number, self.role, outcome);
         result
     }
 
     /// Executes an attempt under the active faults.
-    async fn execute(&self, connection: &mut Connection, id: &str) -> AttemptEnd {
+    async fn execute(&self, connection: &mut Connection, id: &str, plan: StreamPlan) -> AttemptEnd {
         if is_set(&self.behavior.is_overloaded) {
             return self.reject(connection, id, "503 Service Unavailable").await;
         }
@@ -292,7 +290,7 @@
         if self.role == Role::Prefill {
             self.finish_prefill(connection, id).await
         } else {
-            self.decode(connection, id).await
+            self.decode(connection, id, plan).await
         }
     }
 
@@ -318,14 +316,17 @@
         (AttemptOutcome::Prefilled, result)
     }
 
-    async fn decode(&self, connection: &mut Connection, id: &str) -> AttemptEnd {
+    async fn decode(&self, connection: &mut Connection, id: &str, plan: StreamPlan) -> AttemptEnd {
         if !self.oracle.consume_kv(id, self.number) {
             return (AttemptOutcome::Other, Err(ConnectionEnd::Reset));
         }
-        match self.stream_events(connection, id).await {
+        match self.stream_events(connection, id, plan).await {
             Ok(()) => (AttemptOutcome::Streamed, Ok(())),
             Err(end) => {
-                self.oracle.on_stream_aborted(id);
+                match end {
+                    ConnectionEnd::Closed => self.oracle.on_stream_cut(id),
+                    ConnectionEnd::Reset => self.oracle.on_stream_aborted(id),
+                }
                 (AttemptOutcome::Other, Err(end))
             }
         }
@@ -335,14 +336,22 @@
         &self,
         connection: &mut Connection,
         id: &str,
+        plan: StreamPlan,
     ) -> Result<(), ConnectionEnd> {
         let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         self.send(connection, head).await?;
-        for number in 0..EVENTS_PER_STREAM {
-            let event = format!("data: {{\"id\":\"{id}\",\"n\":{number}}}\n\n");
+        for number in 0..plan.events {
+            let event = stream_plan::event(id, number, plan.event_bytes);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             self.send(connection, &chunk).await?;
-            self.unless_ended(connection, sleep(EVENT_INTERVAL)).await?;
+            let faults = connection.faults.clone();
+            let wait = async {
+                sleep(plan.wait_after(number)).await;
+                let is_stalled = is_set(&self.behavior.is_stalled) || is_set(&faults.is_silent);
+                self.oracle.on_stream_stalled(id, is_stalled);
+            };
+            self.unless_ended(connection, wait).await?;
+            self.oracle.on_stream_stalled(id, false);
             if is_set(&self.behavior.aborts_streams) {
                 return Err(ConnectionEnd::Reset);
             }
--- a/crates/soak/src/request_history.rs
+++ b/crates/soak/src/request_history.rs
@@ -34,6 +34,12 @@
     pub(crate) kv_replica: usize,
     /// The last replica that streamed has aborted its stream.
     pub(crate) is_stream_aborted: bool,
+    /// The replica stands still in the middle of its stream.
+    pub(crate) is_stream_stalled: bool,
+    /// A fault has killed its process.
+    pub(crate) was_process_killed: bool,
+    /// A crowd fills the process's descriptors, or did when the request was sent.
+    pub(crate) is_crowded_out: bool,
     /// When its process was last resumed after a pause.
     pub(crate) resumed_at: Option<Instant>,
     /// All that was observed, oldest first.
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -5,7 +5,7 @@
 use crate::config::MAX_DEADLINE;
 use crate::schedule::{Fault, ScheduledFault};
 use quartzhall::routing::api::EndpointStatus;
-use rustix::process::Signal;
+use rustix::process::{kill_process, Pid, Signal};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +16,13 @@
 /// SIGKILL follows SIGTERM after this, by the longest deadline.
 const KILL_AFTER_TERM: Duration = Duration::from_millis(MAX_DEADLINE.as_millis() as u64 + 1_500);
 
+/// Sends a signal to a running process; it may have exited by itself, which is detected elsewhere.
+fn signal(process_id: Option<u32>, signal: Signal) {
+    if let Some(id) = process_id.and_then(|id| Pid::from_raw(id as i32)) {
+        let _ = kill_process(id, signal);
+    }
+}
+
 /// Sets a fault flag for some time.
 async fn set_for(flag: &AtomicBool, duration: Duration) {
     flag.store(true, Ordering::Relaxed);
@@ -63,7 +70,16 @@
             Fault::TerminateProcess(process) => {
                 self.terminate(&self.processes[process], duration).await;
             }
-            Fault::ReloadConfig(process) => self.processes[process].signal(Signal::HUP),
+            Fault::ReloadConfig(process) => signal(self.processes[process].id(), Signal::HUP),
+            Fault::UpgradeSeries {
+                process,
+                upgrades,
+                seed,
+            } => {
+                let process = self.processes[process].clone();
+                self.upgrade_in_series(&process, upgrades, seed).await;
+            }
+            Fault::Crowd(process) => self.crowd(&self.processes[process], duration).await,
             Fault::StopDiscovery(process) => {
                 let process = &self.processes[process];
                 process.stop_agent();
@@ -88,12 +104,14 @@
         if !process.accepts_requests() || process.mark_paused() {
             return;
         }
+        // An upgrade may replace it meanwhile.
+        let id = process.id();
         let started = Instant::now();
-        process.signal(Signal::STOP);
+        signal(id, Signal::STOP);
         sleep(duration).await;
         self.oracle
             .on_process_resumed(process.number, started.elapsed());
-        process.signal(Signal::CONT);
+        signal(id, Signal::CONT);
         process.mark_resumed();
     }
 
@@ -112,7 +130,7 @@
         if !process.accepts_requests() || process.is_paused() {
             return;
         }
-        process.signal(Signal::TERM);
+        signal(process.id(), Signal::TERM);
         sleep(CONNECT_TIME_AFTER_TERM).await;
         if !process.claim_for_exit() {
             return;
@@ -131,7 +149,7 @@
     }
 
     async fn restart(&self, process: &DispatcherProcess) {
-        if let Err(error) = self.start_process(process).await {
+        if let Err(error) = process.start(&self.plan).await {
             self.oracle
                 .on_process_failed(process.number, error.to_string());
         }
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -5,8 +5,9 @@
 
 mod faults;
 mod process;
+mod upgrades;
 
-use crate::client::{self, ClientRequest, Target};
+use crate::client::{self, ClientRequest, KeptConnection, Target};
 use crate::error::SoakError;
 use crate::oracle::{Oracle, ResponseCounts, Violation};
 use crate::replica::{DrainNotifications, Replica};
@@ -22,6 +23,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, sleep_until};
 
@@ -33,6 +35,8 @@
     pub shape: SoakShape,
     /// Requests per second to each dispatcher.
     pub rate: f64,
+    /// The deadline in the settings; no client waits longer for its first event.
+    pub max_deadline: Duration,
     /// The dispatcher's program.
     pub program: PathBuf,
     /// Where configurations and logs go.
@@ -47,6 +51,10 @@
     pub counts: ResponseCounts,
     /// Faults that were injected.
     pub faults: usize,
+    /// Upgrades among them.
+    pub upgrades: u32,
+    /// The latest that an event was.
+    pub worst_event_delay: Duration,
 }
 
 /// Between two checks of the oracle's deadlines.
@@ -54,9 +62,18 @@
 /// After the last request, all responses have come and all reservations are released within this.
 const SETTLE_TIME: Duration = Duration::from_millis(6_500);
 
+/// Clients that keep their connection, for each process that is upgraded.
+const KEPT_CONNECTIONS: u64 = 2;
+/// Between two requests of such a client, in milliseconds.
+const MAX_KEPT_PAUSE_MS: u64 = 200;
+/// Requests of these clients have numbers from a multiple of two to this power on.
+const KEPT_NUMBER_BITS: u32 = 32;
+/// The fraction of requests to upgraded processes whose streams outlast upgrades.
+const LONG_STREAM_FRACTION: f64 = 0.3;
+
 /// Ports on a process's own address: where it listens, its discovery agent, and the first replica.
 const LISTEN_PORT: u16 = 7_000;
-const AGENT_PORT: u16 = 7_001;
+const AGENT_PORT: u16 = 7_001; // ports above it answer operators
 const REPLICA_PORT: u16 = 7_100;
 /// Ports of one run. The following runs use others, because connections of an earlier run may still be closing.
 const PORTS_PER_RUN: u16 = 200;
@@ -93,7 +110,7 @@
     let mut replica_tasks = JoinSet::new();
     let run = Arc::new(SoakRun::set_up(plan, &mut replica_tasks)?);
     for process in &run.processes {
-        run.start_process(process).await?;
+        process.start(&run.plan).await?;
     }
     let deadline_checks = tokio::spawn(run.clone().check_deadlines());
     let started = tokio::time::Instant::now();
@@ -101,8 +118,18 @@
     for process in &run.processes {
         let seed = rng.gen();
         work.spawn(run.clone().generate_load(process.clone(), seed));
+        if run.plan.shape.is_upgraded(process.number) {
+            for client in 0..KEPT_CONNECTIONS {
+                let seed = rng.gen();
+                work.spawn(
+                    run.clone()
+                        .use_kept_connection(process.clone(), client, seed),
+                );
+            }
+        }
     }
     let faults = schedule.len();
+    let upgrades = schedule::count_upgrades(&schedule);
     for scheduled in schedule {
         sleep_until(started + scheduled.starts_after).await;
         work.spawn(run.clone().inject(scheduled));
@@ -115,6 +142,8 @@
         violations: run.oracle.violations(),
         counts: run.oracle.counts(),
         faults,
+        upgrades,
+        worst_event_delay: run.oracle.worst_event_delay(),
     };
     replica_tasks.abort_all();
     Ok(result)
@@ -130,12 +159,20 @@
         let mut processes = Vec::new();
         for (number, delivery_log) in delivery_logs.into_iter().enumerate() {
             let endpoints = serve_replicas(&plan, &replicas, number, replica_tasks)?;
+            let listen = process_address(plan.seed, number, LISTEN_PORT);
+            let platform_socket = if plan.shape.is_upgraded(number) {
+                let socket = wire::listen(listen).and_then(TcpListener::into_std);
+                Some(socket.map_err(SoakError::Listen)?)
+            } else {
+                None
+            };
             let process = DispatcherProcess::new(
                 number,
-                process_address(plan.seed, number, LISTEN_PORT),
+                listen,
                 process_address(plan.seed, number, AGENT_PORT),
                 endpoints,
                 delivery_log,
+                platform_socket,
             );
             processes.push(Arc::new(process));
         }
@@ -150,18 +187,10 @@
         })
     }
 
-    async fn start_process(&self, process: &DispatcherProcess) -> Result<(), SoakError> {
-        process.start(&self.plan).await
-    }
-
     /// Sends requests at random times, each on a connection of its own.
     async fn generate_load(self: Arc<Self>, process: Arc<DispatcherProcess>, seed: u64) {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let target = Arc::new(Target {
-            process: process.number,
-            address: process.listen.clone(),
-            oracle: self.oracle.clone(),
-        });
+        let target = self.target(&process);
         let end = Instant::now() + self.plan.shape.load_duration;
         let mut in_flight = JoinSet::new();
         for number in 0.. {
@@ -170,7 +199,11 @@
             if Instant::now() >= end {
                 break;
             }
-            let request = ClientRequest::draw(process.number, number, &mut rng);
+            let mut request =
+                ClientRequest::draw(process.number, number, self.plan.max_deadline, &mut rng);
+            if self.plan.shape.is_upgraded(process.number) && rng.gen_bool(LONG_STREAM_FRACTION) {
+                request = request.with_long_stream(&mut rng);
+            }
             if process.accepts_requests() {
                 in_flight.spawn(client::send_request(target.clone(), request));
             }
@@ -179,6 +212,37 @@
         while in_flight.join_next().await.is_some() {}
     }
 
+    fn target(&self, process: &DispatcherProcess) -> Arc<Target> {
+        Arc::new(Target {
+            process: process.number,
+            address: process.listen.clone(),
+            oracle: self.oracle.clone(),
+            may_be_killed: !self.plan.shape.is_upgraded(process.number),
+        })
+    }
+
+    /// Sends one request after the other, on one connection for as long as that stays open.
+    async fn use_kept_connection(
+        self: Arc<Self>,
+        process: Arc<DispatcherProcess>,
+        client: u64,
+        seed: u64,
+    ) {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut connection = KeptConnection::new(self.target(&process));
+        let end = Instant::now() + self.plan.shape.load_duration;
+        let first_number = (client + 1) << KEPT_NUMBER_BITS;
+        for number in first_number.. {
+            if Instant::now() >= end {
+                break;
+            }
+            let request =
+                ClientRequest::draw(process.number, number, self.plan.max_deadline, &mut rng);
+            connection.send(request).await;
+            sleep(Duration::from_millis(rng.gen_range(0..MAX_KEPT_PAUSE_MS))).await;
+        }
+    }
+
     /// Checks deadlines until the task is aborted.
     async fn check_deadlines(self: Arc<Self>) {
         let mut checks = interval(CHECK_INTERVAL);
--- a/crates/soak/src/run/process.rs
+++ b/crates/soak/src/run/process.rs
@@ -4,10 +4,9 @@
 use crate::config;
 use crate::error::SoakError;
 use crate::wire;
-use quartzhall_scale::process::Dispatcher;
+use quartzhall_scale::process::{Dispatcher, Inheritance};
 use quartzhall_scale::simulated::discovery::{DeliveryLog, DiscoveredEndpoint, Discovery};
-use rustix::process::{kill_process, Pid, Signal};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::task::AbortHandle;
@@ -23,6 +22,8 @@
     agent_address: SocketAddr,
     delivery_log: Arc<DeliveryLog>,
     agent_task: Mutex<Option<AbortHandle>>,
+    /// The socket that its processes inherit; `None`: it binds its own.
+    platform_socket: Option<TcpListener>,
     dispatcher: Mutex<Option<Dispatcher>>,
     accepts_requests: AtomicBool,
     is_paused: AtomicBool,
@@ -41,6 +42,7 @@
         agent_address: SocketAddr,
         endpoints: Vec<DiscoveredEndpoint>,
         delivery_log: Arc<DeliveryLog>,
+        platform_socket: Option<TcpListener>,
     ) -> DispatcherProcess {
         DispatcherProcess {
             number,
@@ -49,6 +51,7 @@
             agent_address,
             delivery_log,
             agent_task: Mutex::default(),
+            platform_socket,
             dispatcher: Mutex::default(),
             accepts_requests: AtomicBool::new(false),
             is_paused: AtomicBool::new(false),
@@ -56,8 +59,17 @@
         }
     }
 
-    /// Starts the process and waits until it is ready.
-    pub(super) async fn start(&self, plan: &RunPlan) -> Result<(), SoakError> {
+    /// Starts the process, or the next one beside it, and waits until it is ready. Returns the one that was there before.
+    pub(super) async fn start(&self, plan: &RunPlan) -> Result<Option<Dispatcher>, SoakError> {
+        let dispatcher = self.spawn(plan)?;
+        dispatcher.wait_until_ready().await?;
+        let previous = lock(&self.dispatcher).replace(dispatcher);
+        self.accepts_requests.store(true, Ordering::Relaxed);
+        Ok(previous)
+    }
+
+    /// Starts a process and does not wait for it.
+    pub(super) fn spawn(&self, plan: &RunPlan) -> Result<Dispatcher, SoakError> {
         let start = self.starts.fetch_add(1, Ordering::Relaxed);
         let seed = plan.seed ^ (self.number as u64) << 32 ^ start;
         let config = config::config_text(
@@ -66,19 +78,44 @@
             seed,
             &self.listen,
             &self.agent_address.to_string(),
+            plan.max_deadline,
         );
         let name = format!("p{}-{start}", self.number);
-        let dispatcher = Dispatcher::start(
+        let inheritance = match &self.platform_socket {
+            Some(socket) => Some(self.inheritance(plan, socket, start)?),
+            None => None,
+        };
+        Ok(Dispatcher::start(
             &plan.program,
             &plan.folder,
             &name,
             self.listen.clone(),
             &config,
-        )?;
-        dispatcher.wait_until_ready().await?;
-        *lock(&self.dispatcher) = Some(dispatcher);
-        self.accepts_requests.store(true, Ordering::Relaxed);
-        Ok(())
+            inheritance,
+        )?)
+    }
+
+    fn inheritance(
+        &self,
+        plan: &RunPlan,
+        socket: &TcpListener,
+        start: u64,
+    ) -> Result<Inheritance, SoakError> {
+        let shared_folder = std::env::temp_dir().join(format!(
+            "qh-soak-{}-{}-{}",
+            std::process::id(),
+            plan.seed,
+            self.number
+        ));
+        std::fs::create_dir_all(&shared_folder).map_err(SoakError::CreateFolder)?;
+        let mut management = self.agent_address;
+        management.set_port(management.port() + 1 + start as u16);
+        Ok(Inheritance {
+            socket: socket.try_clone().map_err(SoakError::Listen)?.into(),
+            shared_folder,
+            management: management.to_string(),
+            max_descriptors: config::MAX_DESCRIPTORS,
+        })
     }
 
     /// Starts the discovery agent.
@@ -106,14 +143,6 @@
         Some(dispatcher.as_ref()?.process_id)
     }
 
-    /// Sends a signal to the running process.
-    pub(super) fn signal(&self, signal: Signal) {
-        let id = self.id().and_then(|id| Pid::from_raw(id as i32));
-        if let Some(id) = id {
-            let _ = kill_process(id, signal); // it may have exited by itself, which is detected elsewhere
-        }
-    }
-
     /// Whether clients may send requests to it.
     pub(super) fn accepts_requests(&self) -> bool {
         self.accepts_requests.load(Ordering::Relaxed)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -44,6 +44,17 @@
     TerminateProcess(usize),
     /// A process reloads its configuration (SIGHUP).
     ReloadConfig(usize),
+    /// A process is replaced by a successor on its inherited socket, and that by the next one.
+    UpgradeSeries {
+        /// The process.
+        process: usize,
+        /// How many successors follow each other.
+        upgrades: u32,
+        /// Draws their times and what happens beside them.
+        seed: u64,
+    },
+    /// Idle clients connect to a process until its descriptors are used up.
+    Crowd(usize),
     /// The discovery agent of a process refuses connections.
     StopDiscovery(usize),
 }
@@ -70,8 +81,27 @@
     pub replicas: usize,
     /// How long clients send.
     pub load_duration: Duration,
+    /// Whether crowds of idle clients are among the faults.
+    pub has_crowds: bool,
+}
+
+impl SoakShape {
+    /// Whether a process has an inherited socket and is upgraded; the others are killed and restarted.
+    pub fn is_upgraded(&self, process: usize) -> bool {
+        process.is_multiple_of(2)
+    }
+
+    fn upgraded_processes(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.processes).filter(|process| self.is_upgraded(*process))
+    }
 }
 
+/// No upgrade starts before this, in milliseconds.
+const MIN_UPGRADE_MS: u64 = 1_500;
+/// The most upgrades in a series.
+const MAX_UPGRADES: u32 = 4;
+/// The fraction of upgraded processes that meet a crowd, in runs with crowds.
+const CROWD_FRACTION: f64 = 0.5;
 /// The first fault starts after this, when all processes are ready and have connections.
 const FIRST_FAULT_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -104,6 +134,7 @@
         ),
         67..=74 => (Fault::ResetConnections { process, replica }, Duration::ZERO),
         75..=81 => (Fault::PauseProcess(process), draw_duration(rng, 50, 700)),
+        82..=91 if shape.is_upgraded(process) => (Fault::ReloadConfig(process), Duration::ZERO),
         82..=86 => (Fault::KillProcess(process), draw_duration(rng, 100, 500)),
         87..=91 => (
             Fault::TerminateProcess(process),
@@ -117,6 +148,32 @@
     }
 }
 
+/// Draws a series of upgrades for each process that has them, and crowds where these are among the faults.
+fn draw_upgrades(shape: &SoakShape, rng: &mut Pcg32) -> Vec<ScheduledFault> {
+    let latest_ms = (shape.load_duration.as_millis() as u64 / 2).max(MIN_UPGRADE_MS + 1);
+    let mut upgrades = Vec::new();
+    for process in shape.upgraded_processes() {
+        let starts_after = draw_duration(rng, MIN_UPGRADE_MS, latest_ms);
+        upgrades.push(ScheduledFault {
+            starts_after,
+            duration: Duration::ZERO,
+            fault: Fault::UpgradeSeries {
+                process,
+                upgrades: rng.gen_range(1..=MAX_UPGRADES),
+                seed: rng.gen(),
+            },
+        });
+        if shape.has_crowds && rng.gen_bool(CROWD_FRACTION) {
+            upgrades.push(ScheduledFault {
+                starts_after,
+                duration: draw_duration(rng, 2_000, 6_000),
+                fault: Fault::Crowd(process),
+            });
+        }
+    }
+    upgrades
+}
+
 /// Draws the faults of a run, in the order in which they start. Faults that take a replica out of service leave at least two
 /// replicas of each role untouched, so that every request can be served.
 pub fn draw_schedule(shape: &SoakShape, rng: &mut Pcg32) -> Vec<ScheduledFault> {
@@ -148,6 +205,16 @@
             fault: Fault::StallReplica(replica),
         });
     }
+    schedule.extend(draw_upgrades(shape, rng));
     schedule.sort_by_key(|scheduled| scheduled.starts_after);
     schedule
 }
+
+/// How many processes of a schedule are replaced by a successor.
+pub fn count_upgrades(schedule: &[ScheduledFault]) -> u32 {
+    let upgrades_of = |scheduled: &ScheduledFault| match scheduled.fault {
+        Fault::UpgradeSeries { upgrades, .. } => upgrades,
+        _ => 0,
+    };
+    schedule.iter().map(upgrades_of).sum()
+}
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -95,3 +95,10 @@
 pub fn reset(stream: TcpStream) {
     let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
+
+/// Whether the other side has closed a connection on which it sends nothing.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    matches!(stream.try_read(&mut byte), Ok(0))
+        || matches!(stream.try_read(&mut byte), Err(error) if error.kind() != std::io::ErrorKind::WouldBlock)
+}
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -132,6 +132,7 @@
         prefill_replicas: 5,
         replicas: 12,
         load_duration: Duration::from_secs(12),
+        has_crowds: true,
     };
     let schedule = |seed| {
         format!(
