--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -125,6 +125,7 @@
     violations: Vec<Violation>,
     killed_at: HashMap<usize, Instant>,  // by process
     crowded: HashSet<usize>,             // processes
+    paused: HashSet<usize>,              // processes
     resumed_at: HashMap<usize, Instant>, // by process
     worst_event_delay: Duration,
     counts: ResponseCounts,
@@ -202,8 +203,10 @@
         deadline: Duration,
     ) {
         let is_crowded = self.state().crowded.contains(&process);
+        let is_paused = self.state().paused.contains(&process);
         self.update(id, |request| {
             request.is_crowded_out = is_crowded;
+            request.may_have_queued = is_crowded || is_paused;
             request.process = process;
             request.is_non_idempotent = is_non_idempotent;
             request.deadline = deadline;
@@ -332,6 +335,7 @@
         }
         for request in state.requests_of(process) {
             request.is_crowded_out |= is_there && !request.is_answered;
+            request.may_have_queued |= request.is_crowded_out;
         }
     }
 
@@ -457,9 +461,19 @@
         killed_at.is_some_and(|killed_at| *killed_at >= since)
     }
 
+    /// A process is about to be paused. What comes to it meanwhile waits, also where another one takes it in the end.
+    pub fn on_process_paused(&self, process: usize) {
+        let mut state = self.state();
+        state.paused.insert(process);
+        for request in state.requests_of(process) {
+            request.may_have_queued |= !request.is_answered;
+        }
+    }
+
     /// A process is about to resume after a pause, during which it owed nothing.
     pub fn on_process_resumed(&self, process: usize, pause: Duration) {
         let mut state = self.state();
+        state.paused.remove(&process);
         state.resumed_at.insert(process, Instant::now());
         for request in state.requests_of(process) {
             request.observe(format!("its process was paused for {pause:?}"));
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -341,9 +341,11 @@
         let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         self.send(connection, head).await?;
         for number in 0..plan.events {
+            // The event has its time stamp once nothing holds it back here.
+            self.unless_ended(connection, async {}).await?;
             let event = stream_plan::event(id, number, plan.event_bytes);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            self.send(connection, &chunk).await?;
+            self.write(connection, &chunk).await?;
             let faults = connection.faults.clone();
             let wait = async {
                 sleep(plan.wait_after(number)).await;
@@ -385,6 +387,10 @@
 
     async fn send(&self, connection: &mut Connection, text: &str) -> Result<(), ConnectionEnd> {
         self.unless_ended(connection, async {}).await?;
+        self.write(connection, text).await
+    }
+
+    async fn write(&self, connection: &mut Connection, text: &str) -> Result<(), ConnectionEnd> {
         connection
             .stream
             .write_all(text.as_bytes())
--- a/crates/soak/src/request_history.rs
+++ b/crates/soak/src/request_history.rs
@@ -36,6 +36,8 @@
     pub(crate) is_stream_aborted: bool,
     /// The replica stands still in the middle of its stream.
     pub(crate) is_stream_stalled: bool,
+    /// It may have waited for its process in the accept queue.
+    pub(crate) may_have_queued: bool,
     /// A fault has killed its process.
     pub(crate) was_process_killed: bool,
     /// A crowd fills the process's descriptors, or did when the request was sent.
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -84,9 +84,11 @@
                 let process = &self.processes[process];
                 process.stop_agent();
                 sleep(duration).await;
-                // An overlapping fault may have started the agent again.
-                process.stop_agent();
-                let _ = process.start_agent();
+                // An overlapping fault may have started the agent again. Without one no later process would become ready.
+                if let Err(error) = process.restart_agent().await {
+                    let reason = format!("the bench's own agent does not start: {error}");
+                    self.oracle.on_process_failed(process.number, reason);
+                }
             }
         }
     }
@@ -107,6 +109,7 @@
         // An upgrade may replace it meanwhile.
         let id = process.id();
         let started = Instant::now();
+        self.oracle.on_process_paused(process.number);
         signal(id, Signal::STOP);
         sleep(duration).await;
         self.oracle
--- a/crates/soak/src/run/process.rs
+++ b/crates/soak/src/run/process.rs
@@ -9,7 +9,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::task::AbortHandle;
+use tokio::time::{sleep, Instant};
+
+/// How long an agent's address may be in use by the one before ...
+const AGENT_RESTART_TIMEOUT: Duration = Duration::from_secs(2);
+/// ... and how often it is tried.
+const AGENT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A dispatcher's process, which is restarted during the run, and its discovery agent.
 pub(super) struct DispatcherProcess {
@@ -129,6 +136,18 @@
         Ok(())
     }
 
+    /// Starts the discovery agent anew. The address of one that was just stopped may be in use for a moment.
+    pub(super) async fn restart_agent(&self) -> Result<(), SoakError> {
+        let give_up_at = Instant::now() + AGENT_RESTART_TIMEOUT;
+        loop {
+            self.stop_agent();
+            match self.start_agent() {
+                Err(_) if Instant::now() < give_up_at => sleep(AGENT_RETRY_INTERVAL).await,
+                result => return result,
+            }
+        }
+    }
+
     /// Stops the discovery agent, if it is running.
     pub(super) fn stop_agent(&self) {
         let task = lock(&self.agent_task).take();
--- a/src/routing/router/placement.rs
+++ b/src/routing/router/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: whether a request is sent now, probed for, shed or left to wait, and to which endpoint it goes.
 
 use super::selection::ScoredEndpoint;
-use super::tracked_endpoint::{add_load, PendingAttempt, TrackedEndpoint};
+use super::tracked_endpoint::{add_load, PendingAttempt};
 use super::{Attempt, Request, Router, Stage};
 use crate::routing::api::*;
 use rand::Rng;
@@ -245,10 +245,3 @@
         attempt.is_in_flight && (attempt.stage != Stage::Prefill || request.kv_endpoint.is_none())
     })
 }
-
-/// Whether an endpoint was sent to in a stage before.
-pub(super) fn was_tried(request: &Request, endpoint: &TrackedEndpoint, stage: Stage) -> bool {
-    request.attempts.iter().any(|attempt| {
-        attempt.target.endpoint == endpoint.record.endpoint && attempt.stage == stage
-    })
-}
--- a/src/routing/router/request.rs
+++ b/src/routing/router/request.rs
@@ -77,6 +77,13 @@
 }
 
 impl Request {
+    /// Whether an attempt of this stage was sent to an endpoint.
+    pub(super) fn was_tried_at(&self, endpoint: &TrackedEndpoint, stage: Stage) -> bool {
+        self.attempts.iter().any(|attempt| {
+            attempt.target.endpoint == endpoint.record.endpoint && attempt.stage == stage
+        })
+    }
+
     pub(super) fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.is_in_flight)
     }
--- a/src/routing/router/selection.rs
+++ b/src/routing/router/selection.rs
@@ -2,7 +2,6 @@
 //! selection.
 
 use super::latency_model::{logistic, Inputs};
-use super::placement::was_tried;
 use super::tracked_endpoint::TrackedEndpoint;
 use super::{seconds, Request, Router, Stage, MIN_SUCCESS_PROBABILITY};
 use crate::routing::api::*;
@@ -153,7 +152,7 @@
             if let Some(endpoint) = self.endpoints.get(id) {
                 if self.may_send(request, endpoint, stage) {
                     let is_unhealthy = self.is_passed_over(request, endpoint);
-                    let tier = (is_unhealthy, was_tried(request, endpoint, stage));
+                    let tier = (is_unhealthy, request.was_tried_at(endpoint, stage));
                     allowed.push((tier, endpoint));
                 }
             }
