--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,6 +3,9 @@
 //! The [`Oracle`] owns the history of every request. Each observation is recorded in the order in which it is made, with a
 //! monotonic time stamp; a violated invariant is reported with the request's whole history.
 
+mod processes;
+mod streams;
+
 use crate::config::{DRAIN_GRACE, RELEASE_SLACK, RELEASE_WITHIN};
 use crate::request_history::{Observation, RequestHistory};
 use quartzhall::routing::api::Role;
@@ -16,10 +19,6 @@
 const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 /// The time left that is announced to a replica may exceed what the client has left by this.
 const ANNOUNCED_TIME_SLACK: Duration = Duration::from_millis(150);
-/// An event reaches its client within this.
-const EVENT_SLACK: Duration = Duration::from_millis(300);
-/// For so long after a pause of a process events may still be late.
-const PAUSE_AFTERMATH: Duration = Duration::from_millis(1_000);
 /// An attempt may start this long after its client has disconnected.
 const DISCONNECT_SLACK: Duration = Duration::from_millis(100);
 
@@ -256,96 +255,6 @@
         });
     }
 
-    /// The client's stream has ended. `is_complete`: its last chunk has arrived.
-    pub fn on_stream_ended(&self, id: &str, is_complete: bool) {
-        self.update(id, |request| {
-            request.observe(format!("stream ended, complete: {is_complete}"));
-            match (is_complete, request.is_stream_aborted) {
-                (true, true) => Some(Invariant::AbortedStreamIncomplete),
-                (false, false) if !request.was_process_killed && !request.is_stream_stalled => {
-                    Some(Invariant::StreamWhole)
-                }
-                _ => None,
-            }
-        });
-    }
-
-    /// A replica has aborted its stream.
-    pub fn on_stream_aborted(&self, id: &str) {
-        self.update(id, |request| {
-            request.is_stream_aborted = true;
-            request.observe("replica aborted its stream".into());
-            None
-        });
-    }
-
-    /// A replica stands still in the middle of its stream, or goes on with it. The dispatcher may give up what is silent.
-    pub fn on_stream_stalled(&self, id: &str, is_stalled: bool) {
-        self.update(id, |request| {
-            if request.is_stream_stalled != is_stalled {
-                request.observe(format!("replica stalled in mid-stream: {is_stalled}"));
-            }
-            request.is_stream_stalled = is_stalled;
-            None
-        });
-    }
-
-    /// A dispatcher has closed the connection of a stream that its replica went on with.
-    pub fn on_stream_cut(&self, id: &str) {
-        self.update(id, |request| {
-            request.observe("its dispatcher closed the connection in mid-stream".into());
-            None
-        });
-    }
-
-    /// A client that reads at once has an event, which its replica wrote at `written_at`.
-    pub fn on_event(&self, id: &str, written_at: Instant) {
-        let delay = written_at.elapsed();
-        let mut state = self.state();
-        let process = state.requests.get(id).map(|request| request.process);
-        let resumed_at = process.and_then(|process| state.resumed_at.get(&process));
-        // Neither a process that was paused lately is blamed, nor one beside it that had to wait for it.
-        let is_excused = resumed_at.is_some_and(|resumed_at| {
-            written_at.saturating_duration_since(*resumed_at) < PAUSE_AFTERMATH
-        });
-        if is_excused {
-            return;
-        }
-        state.worst_event_delay = state.worst_event_delay.max(delay);
-        if delay > EVENT_SLACK + BENCH_SLACK {
-            if let Some(request) = state.requests.get_mut(id) {
-                request.observe(format!("an event came {delay:?} after it was written"));
-            }
-            state.report(self.started, Invariant::EventInTime, id);
-        }
-    }
-
-    /// The latest that an event was, of those for which a dispatcher can be blamed.
-    pub fn worst_event_delay(&self) -> Duration {
-        self.state().worst_event_delay
-    }
-
-    /// A crowd of idle clients fills a process's descriptors, or has left.
-    pub fn on_crowd(&self, process: usize, is_there: bool) {
-        let mut state = self.state();
-        if is_there {
-            state.crowded.insert(process);
-        } else {
-            state.crowded.remove(&process);
-        }
-        for request in state.requests_of(process) {
-            request.is_crowded_out |= is_there && !request.is_answered;
-            request.may_have_queued |= request.is_crowded_out;
-        }
-    }
-
-    /// Notes something about a process in the history of its requests that have no answer or stream yet.
-    pub fn observe_process(&self, process: usize, text: &str) {
-        for request in self.state().requests_of(process) {
-            request.observe(text.into());
-        }
-    }
-
     /// A running replica has read the last byte of an attempt.
     pub fn on_attempt_arrived(&self, id: &str, arrival: AttemptArrival) {
         self.update(id, |request| {
@@ -441,56 +350,6 @@
         });
     }
 
-    /// A process was killed: its reservations are void, and nothing is owed to its clients.
-    pub fn on_process_killed(&self, process: usize) {
-        let mut state = self.state();
-        state.killed_at.insert(process, Instant::now());
-        for request in state.requests_of(process) {
-            request.observe("its process was killed".into());
-            request.was_process_killed = true;
-            request.is_kv_reserved = false;
-            request.is_answered = true;
-            request.update_idle_since();
-        }
-    }
-
-    /// Whether a process was killed at or after `since`.
-    pub fn was_killed_since(&self, process: usize, since: Instant) -> bool {
-        let state = self.state();
-        let killed_at = state.killed_at.get(&process);
-        killed_at.is_some_and(|killed_at| *killed_at >= since)
-    }
-
-    /// A process is about to be paused. What comes to it meanwhile waits, also where another one takes it in the end.
-    pub fn on_process_paused(&self, process: usize) {
-        let mut state = self.state();
-        state.paused.insert(process);
-        for request in state.requests_of(process) {
-            request.may_have_queued |= !request.is_answered;
-        }
-    }
-
-    /// A process is about to resume after a pause, during which it owed nothing.
-    pub fn on_process_resumed(&self, process: usize, pause: Duration) {
-        let mut state = self.state();
-        state.paused.remove(&process);
-        state.resumed_at.insert(process, Instant::now());
-        for request in state.requests_of(process) {
-            request.observe(format!("its process was paused for {pause:?}"));
-            request.extend_for_pause(pause);
-        }
-    }
-
-    /// A process exited by itself, failed to start, or did not shut down cleanly.
-    pub fn on_process_failed(&self, process: usize, reason: String) {
-        let violation = Violation {
-            invariant: Invariant::ProcessRuns,
-            id: format!("p{process}"),
-            timeline: vec![reason],
-        };
-        self.state().violations.push(violation);
-    }
-
     /// Checks what should have happened by now. Requests of `paused` processes are not checked.
     pub fn check_deadlines(&self, paused: &[usize]) {
         let mut state = self.state();
--- a/tests/migrated_streams.rs
+++ b/tests/migrated_streams.rs
@@ -210,3 +210,26 @@
     upgrade_away(process).await;
     assert_whole(&setup, streams).await;
 }
+
+/// A client of HTTP/1.0 gets its stream without chunks, which no other process could go on with.
+#[tokio::test]
+async fn stream_without_chunks_stays_where_it_began() {
+    let setup = setup_with_pausing_endpoints("old-client").await;
+    let predecessor = setup.start_process().await;
+    let request = request("old").replace("HTTP/1.1", "HTTP/1.0");
+    let stream = OpenStream::start_with(&setup, &request).await;
+    let _successor = setup.start_process().await;
+    predecessor.send_sigterm();
+    predecessor.wait_for_log("listener closed").await;
+    setup.fleet.go.notify_waiters();
+    let response = stream.finish().await;
+    assert!(response.ends_with(&testbed::ANSWER.concat()), "{response}");
+    assert_eq!(predecessor.exit_code().await, Some(0));
+    assert!(!has_log_of_a_migration(&setup));
+}
+
+fn has_log_of_a_migration(setup: &UpgradeSetup) -> bool {
+    let entries = std::fs::read_dir(&setup.folder).unwrap();
+    let mut logs = entries.filter_map(|entry| std::fs::read_to_string(entry.unwrap().path()).ok());
+    logs.any(|log| log.contains("stream migrated"))
+}
--- a/tests/upgrade/setup.rs
+++ b/tests/upgrade/setup.rs
@@ -246,11 +246,13 @@
 impl OpenStream {
     /// Sends a request and waits for the first event of its response.
     pub(crate) async fn start(setup: &UpgradeSetup, trace_id: &str) -> OpenStream {
+        OpenStream::start_with(setup, &request(trace_id)).await
+    }
+
+    /// The same with this request.
+    pub(crate) async fn start_with(setup: &UpgradeSetup, request: &str) -> OpenStream {
         let mut connection = setup.connect().await;
-        connection
-            .write_all(request(trace_id).as_bytes())
-            .await
-            .unwrap();
+        connection.write_all(request.as_bytes()).await.unwrap();
         let mut received = Vec::new();
         while !String::from_utf8_lossy(&received).contains(testbed::ANSWER[0]) {
             let read_bytes = connection.read_buf(&mut received).await.unwrap();
