--- a/tests/stream_migration.rs
+++ b/tests/stream_migration.rs
@@ -181,6 +181,12 @@
     assert_eq!(outcome, (true, true));
 }
 
+#[tokio::test]
+async fn stream_stays_in_a_process_that_is_alone() {
+    let offer = Offer::new().await;
+    assert_eq!(offer.migrate(&None).await, (false, false));
+}
+
 #[tokio::test]
 async fn offer_that_was_withdrawn_is_not_sent() {
     let offer = Offer::new().await;
