Review, case 2: a request that ends arriving after SIGTERM is begun and cut by the kill

A client writes its request over 2 s while the dispatcher is told to end. Its last byte comes 1.4 s after SIGTERM; the dispatcher begins the stream, and SIGKILL at the earliest time allowed (3.7 s) cuts it.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! disruption out. Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod case1;
+mod case2;
 mod dispatcher;
 mod fleet;
 mod http;
@@ -16,6 +17,7 @@
     record::line(&format!("case {case}, trouble {trouble}"));
     let run = || match case.as_str() {
         "1" => case1::run(trouble),
+        "2" => case2::run(trouble),
         _ => Err("unknown case".to_owned()),
     };
     let result = std::panic::catch_unwind(run).unwrap_or_else(|_| Err("a panic".to_owned()));
