Review, case 3: a request that moved to a new session is not answered at a restart

A terminal's socket drops while its return-request runs; it reconnects and sends the id again, and the request moves to the new session. At a planned restart that session counts as one without a request and is closed with 1001 in the middle of the answer, 3.2 s before the earliest kill.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,10 +5,12 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod dispatcher;
 mod fleet;
 mod http;
 mod record;
+mod terminal;
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
@@ -18,6 +20,7 @@
     let run = || match case.as_str() {
         "1" => case1::run(trouble),
         "2" => case2::run(trouble),
+        "3" => case3::run(trouble),
         _ => Err("unknown case".to_owned()),
     };
     let result = std::panic::catch_unwind(run).unwrap_or_else(|_| Err("a panic".to_owned()));
