Refuse what arrives late in a shutdown, before any attempt, unless its stream can migrate

Events of one run on, with QUARTZHALL_LOG=debug, in ms after SIGTERM: head written -600, "draining" 0, "listener closed" with one open connection 501, "request arrived" 1402, "attempt started" (reader) 1402, its end 1453, "attempt started" (writer) 1453, "first event" 1824, "work unfinished before the earliest kill" with one open request 3501, kill 3700.

Hypotheses, told apart by these lines: admitted in time and kept waiting in a queue - no, "request arrived" is at 1402 and the first attempt in the same millisecond; delayed by a retry or a hedge - no, two attempts, neither a retry; a stream that stood still - no, events came every 350 ms up to the kill; begun late because nothing asks whether it can end - yes. The drain's deadline bounds the time to the first event only.

Invariant: a request whose stream the kill would cut is not begun. Its owner is the core's DrainAdmission, asked once for each request before it enters the table, whichever front or process it came from. From 0.55 s after the signal (0.7 s less 0.15 s for a signal that is noticed late) a request is shed with Retry-After 0 before its first attempt, unless another process serves and the stream can migrate there. The drain's event goes ahead of queued requests, so that its times count from the signal. Beside it: a body that is still arriving 0.5 s before the earliest kill is refused, a head is closed; both used to be read past the kill. The times of a shutdown stand in one place now (process/shutdown_schedule); reading a body has a module of its own.

A session's request comes through the same admission.

An estimate of the stream's end was turned down: a replica that hangs or slows down in the shutdown makes it wrong, and then the request has run.

--- a/crates/scale/src/core_steps.rs
+++ b/crates/scale/src/core_steps.rs
@@ -248,6 +248,7 @@
             client_request_id: format!("r{id}").into(),
             target: "/v1/chat/completions".into(),
             body: Bytes::new(),
+            stream_can_migrate: true,
         };
         let (outcome, receiver) = oneshot::channel();
         self.outcomes.push(receiver);
--- a/examples/recording_cost.rs
+++ b/examples/recording_cost.rs
@@ -65,6 +65,7 @@
         client_request_id: format!("r{id}").into(),
         target: "/".into(),
         body: "{}".into(),
+        stream_can_migrate: true,
     };
     let (outcome, _outcome_receiver) = oneshot::channel();
     let arrived = Event::RequestArrived {
--- a/src/dispatcher/core.rs
+++ b/src/dispatcher/core.rs
@@ -3,9 +3,10 @@
 //! [`Core`] owns the router, the request table, the endpoint table, the settings in force, the timers and the report. It
 //! performs no I/O and reads no clock. This file defines the state, the timers and the dispatch of events. The handlers are
 //! in one module per concern: [`requests`], [`attempts`], [`received_streams`], [`router_actions`], [`endpoints`],
-//! [`gossip`], [`settings`] and [`lifecycle`].
+//! [`gossip`], [`settings`], [`lifecycle`] and [`drain_admission`].
 
 mod attempts;
+mod drain_admission;
 mod endpoints;
 mod gossip;
 mod lifecycle;
@@ -15,6 +16,7 @@
 mod settings;
 
 use self::attempts::AttemptEnd;
+use self::drain_admission::DrainAdmission;
 use self::lifecycle::Lifecycle;
 use self::settings::SettingsState;
 use super::endpoint_table::EndpointTable;
@@ -42,6 +44,7 @@
     router: Router,
     settings: SettingsState,
     lifecycle: Lifecycle,
+    drain_admission: DrainAdmission,
     endpoints: EndpointTable,
     requests: RequestTable,
     /// Instants of the router's timers, the earliest first.
@@ -70,6 +73,7 @@
             router: Router::new(settings.routing().clone(), seed, now),
             settings,
             lifecycle: Lifecycle::Serving,
+            drain_admission: DrainAdmission::default(),
             endpoints: EndpointTable::default(),
             requests: RequestTable::default(),
             timers: BinaryHeap::new(),
@@ -147,7 +151,10 @@
             Event::ResourceShareChanged { share, processes } => {
                 self.on_resource_share_changed(now, share, processes);
             }
-            Event::Drain(grace) => self.on_drain(now, grace),
+            Event::Drain(schedule) => self.on_drain(now, schedule),
+            Event::StreamReceiverChanged { is_available } => {
+                self.drain_admission.set_stream_receiver(is_available);
+            }
         }
     }
 
@@ -160,6 +167,9 @@
             self.timers.pop();
             self.drive_router(now, api::Event::TimerFired);
         }
+        if self.drain_admission.take_end(now) {
+            self.report.log_admission_ended();
+        }
         if now >= self.next_deadline_check {
             self.next_deadline_check = now + DEADLINE_CHECK_INTERVAL;
             self.report.summarize_if_due(now, self.requests.len());
--- a/src/dispatcher/core/lifecycle.rs
+++ b/src/dispatcher/core/lifecycle.rs
@@ -4,9 +4,9 @@
 //! endpoint is ready for prefill and one for decode.
 
 use super::Core;
-use crate::dispatcher::messages::Readiness;
+use crate::dispatcher::messages::{DrainSchedule, Readiness};
 use crate::routing::api::{self, Time};
-use std::time::Duration;
+use std::cmp::Reverse;
 
 /// The core's lifecycle state. `Draining` is final.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,7 +15,7 @@
     Standby,
     /// Clients are accepted.
     Serving,
-    /// The process is shutting down; requests that still arrive are served.
+    /// The process is shutting down; `DrainAdmission` decides whether a request that still arrives is served.
     Draining,
 }
 
@@ -37,10 +37,13 @@
         }
     }
 
-    /// Starts the drain. Every request without a stream gets its final outcome within `grace`.
-    pub(super) fn on_drain(&mut self, now: Time, grace: Duration) {
+    /// Starts the drain.
+    pub(super) fn on_drain(&mut self, now: Time, schedule: DrainSchedule) {
         self.lifecycle = Lifecycle::Draining;
-        let deadline = now.saturating_add(grace.as_micros() as Time);
+        let admission_ends_at = now.saturating_add(schedule.admit_within.as_micros() as Time);
+        self.drain_admission.start(admission_ends_at);
+        self.timers.push(Reverse(admission_ends_at));
+        let deadline = now.saturating_add(schedule.respond_within.as_micros() as Time);
         self.drive_router(now, api::Event::ShutdownDeadline(deadline));
     }
 
--- a/src/dispatcher/core/requests.rs
+++ b/src/dispatcher/core/requests.rs
@@ -31,7 +31,7 @@
     ) {
         let client_request_id = &upstream.client_request_id;
         let idempotency = self.settings.idempotency_of(metadata.class);
-        if let Err(rejection) = self.check_admission(client_request_id, idempotency) {
+        if let Err(rejection) = self.check_admission(now, &upstream, idempotency) {
             let open_requests = self.requests.len();
             self.report.log_request_rejected(
                 now,
@@ -58,9 +58,11 @@
     /// Checks whether a request may enter the table.
     fn check_admission(
         &self,
-        client_request_id: &str,
+        now: Time,
+        upstream: &UpstreamRequest,
         idempotency: Idempotency,
     ) -> Result<(), Rejection> {
+        let client_request_id = &*upstream.client_request_id;
         // Endpoints identify requests by the client request id alone, so no two open requests may share one.
         if self.requests.is_open(client_request_id) {
             return Err(Rejection {
@@ -76,6 +78,18 @@
                 outcome: Outcome::DuplicateId,
             });
         }
+        // Another dispatcher can serve the request at once, so its client need not wait before it retries.
+        if !self
+            .drain_admission
+            .admits(now, upstream.stream_can_migrate)
+        {
+            return Err(Rejection {
+                reason: CloseReason::ShuttingDown,
+                outcome: Outcome::Shed {
+                    retry_after: Duration::ZERO,
+                },
+            });
+        }
         // The table is full. Nothing was sent for this request, so it may be shed.
         if self.requests.len() >= self.settings.max_requests() {
             let retry_after = self.settings.max_retry_after();
--- a/src/dispatcher/messages.rs
+++ b/src/dispatcher/messages.rs
@@ -23,6 +23,17 @@
     pub target: Arc<str>,
     /// The request body, which endpoints receive unchanged. Emptied once the response stream starts, to free memory.
     pub body: Bytes,
+    /// Whether the client's side of the response stream can migrate to another process of this dispatcher.
+    pub stream_can_migrate: bool,
+}
+
+/// The times of a graceful shutdown, each from the moment of [`Event::Drain`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainSchedule {
+    /// How long requests are admitted whose streams can end in this process only. A later one would be cut by the kill.
+    pub admit_within: Duration,
+    /// Time in which every request without a stream gets its final outcome.
+    pub respond_within: Duration,
 }
 
 /// A chunk of a response stream. If the channel closes without `End`, the stream has broken.
@@ -200,9 +211,14 @@
     },
     /// Another process of this dispatcher has published its ban records.
     BanRecordsReceived(BanRecords),
-    /// The process shuts down. It reports [`Readiness::Draining`] to load balancers and serves requests that still arrive.
-    /// Every request without a stream gets its final outcome within the given duration.
-    Drain(Duration),
+    /// The process shuts down. It reports [`Readiness::Draining`] to load balancers, serves requests that still arrive
+    /// while the schedule admits them, and sheds later ones.
+    Drain(DrainSchedule),
+    /// Another process of this dispatcher has begun or ceased to serve. While one serves, streams can migrate to it.
+    StreamReceiverChanged {
+        /// Whether another process serves.
+        is_available: bool,
+    },
 }
 
 /// A command of the core to the backend.
@@ -275,6 +291,6 @@
     Standby,
     /// Able to serve and accepting clients.
     Ready,
-    /// Shutting down; requests that still arrive are served.
+    /// Shutting down; requests are served for a short time, and later ones are shed.
     Draining,
 }
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -25,8 +25,8 @@
 pub use self::core::Core;
 pub use self::handle::{channel, DispatcherHandle, EventReceiver, PendingRequest};
 pub use self::messages::{
-    Command, DiscoveredEndpoint, Event, Outcome, Readiness, ReceivedAttempt, ReceivedRequest,
-    StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS,
+    Command, DiscoveredEndpoint, DrainSchedule, Event, Outcome, Readiness, ReceivedAttempt,
+    ReceivedRequest, StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS,
 };
 pub use self::reasons::{CloseReason, EndReason, ReleaseReason};
 pub use self::rules::Rule;
--- a/src/dispatcher/reasons.rs
+++ b/src/dispatcher/reasons.rs
@@ -168,6 +168,8 @@
     InvalidRequest,
     /// It was rejected on arrival, because the request table was full.
     TableFull,
+    /// It was rejected on arrival, because this process shuts down too soon for its stream to end.
+    ShuttingDown,
     /// It was rejected on arrival, because a request with the same client request id is open.
     DuplicateId,
     /// It was rejected on arrival, because a request with the same client request id finished recently and may have run.
--- a/src/dispatcher/report/log_lines.rs
+++ b/src/dispatcher/report/log_lines.rs
@@ -227,4 +227,8 @@
     pub(crate) fn log_readiness(&self, readiness: Readiness) {
         info!(self.log, "readiness"; "state" => ?readiness);
     }
+
+    pub(crate) fn log_admission_ended(&self) {
+        info!(self.log, "admission ended");
+    }
 }
--- a/src/dispatcher/request.rs
+++ b/src/dispatcher/request.rs
@@ -122,6 +122,7 @@
                 client_request_id,
                 target: "".into(),
                 body: Bytes::new(),
+                stream_can_migrate: true,
             },
             must_not_repeat: true,
             outcome: None,
--- a/src/frontend/connection.rs
+++ b/src/frontend/connection.rs
@@ -235,7 +235,7 @@
     /// times out.
     pub(super) async fn wait_until_closable(&self, shutdown: &mut watch::Receiver<ShutdownPhase>) {
         let _ = shutdown
-            .wait_for(|phase| *phase == ShutdownPhase::Closing)
+            .wait_for(|phase| *phase >= ShutdownPhase::Closing)
             .await;
         loop {
             // Lets the connection's task read first what has already arrived.
@@ -254,6 +254,28 @@
         }
     }
 
+    /// Waits until [`ShutdownPhase::Ending`], and then until a head is incomplete and no response is still to be written.
+    /// The request of such a head can't be served any more.
+    pub(super) async fn wait_until_head_is_refused(
+        &self,
+        shutdown: &mut watch::Receiver<ShutdownPhase>,
+    ) {
+        let _ = shutdown
+            .wait_for(|phase| *phase >= ShutdownPhase::Ending)
+            .await;
+        loop {
+            // Lets the connection's task read first what has already arrived.
+            tokio::task::yield_now().await;
+            let phase = self.phase_state().phase;
+            let has_incomplete_head =
+                matches!(phase, ConnectionPhase::New | ConnectionPhase::ReadingHead);
+            if has_incomplete_head && self.write_blocked_since().is_none() {
+                return;
+            }
+            sleep(SHUTDOWN_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether a time limit of this connection has passed. Yields first, so that bytes in the socket buffer are
     /// read: a request that arrived in time is served even if the runtime had not noticed it yet.
     async fn has_passed(&self, time_limit: impl Fn(&Self) -> Option<Instant>) -> bool {
--- a/src/frontend/health_check.rs
+++ b/src/frontend/health_check.rs
@@ -64,7 +64,7 @@
     let mut backoff = AcceptBackoff::default();
     loop {
         let accepted = tokio::select! {
-            _ = shutdown.wait_for(|phase| *phase == ShutdownPhase::Closing) => return,
+            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing) => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/src/frontend/http.rs
+++ b/src/frontend/http.rs
@@ -10,7 +10,8 @@
 };
 use crate::frontend::health_check::ready;
 use crate::frontend::identifiers::{is_valid_name, parse_key};
-use crate::frontend::memory_budget::{BodyMemoryBudget, MAX_BODY_BYTES};
+use crate::frontend::memory_budget::BodyMemoryBudget;
+use crate::frontend::request_body::{read_body, ArrivalsEnd, BodyError};
 use crate::routing::api::RequestMetadata;
 use crate::upgrade::stream_migration::{ReceivedUpstream, SharedMigrationSlot};
 use crate::variants::{is_enabled, Variant};
@@ -22,7 +23,6 @@
 use axum::Router;
 use bytes::Bytes;
 use http_body::Frame;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use slog::{debug, Logger};
 use std::io;
 use std::pin::Pin;
@@ -30,11 +30,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{timeout_at, Instant};
-
-/// Time to reserve memory for the body and to read it completely, from the end of the head. It does not depend on the
-/// request's deadline, which the client chooses.
-const BODY_TIMEOUT: Duration = Duration::from_millis(2200);
+use tokio::time::Instant;
 
 /// The state that the handlers share.
 #[derive(Clone)]
@@ -183,55 +179,16 @@
         .into_response()
 }
 
-/// Why a request's body was not read.
-#[derive(Debug, thiserror::Error)]
-enum BodyError {
-    #[error("the body is over 256 KiB")]
-    TooLarge,
-    #[error("the body is not whole")]
-    Incomplete,
-    #[error("the body took too long")]
-    TimedOut,
-    /// No memory became free in time. The request did not run, so the client may retry it.
-    #[error("no memory is free for the body")]
-    NoMemory,
-}
-
-impl BodyError {
-    fn into_response(self, max_retry_after: Duration) -> Response {
-        let status = match self {
-            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Incomplete => StatusCode::BAD_REQUEST,
-            BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            BodyError::NoMemory => return shed_response(max_retry_after),
-        };
-        text_response(status, &self.to_string())
-    }
-}
-
-/// Reads a body into memory that is reserved for it. If the body has no declared length, memory for the longest
-/// accepted body is reserved.
-async fn read_body(
-    body: Body,
-    body_memory: &BodyMemoryBudget,
-    times_out_at: Instant,
-) -> Result<Bytes, BodyError> {
-    let declared_bytes = http_body::Body::size_hint(&body)
-        .exact()
-        .unwrap_or(MAX_BODY_BYTES as u64);
-    if declared_bytes > MAX_BODY_BYTES as u64 {
-        return Err(BodyError::TooLarge);
-    }
-    let reserving = body_memory.reserve(declared_bytes as usize);
-    let Ok(Some(reservation)) = timeout_at(times_out_at, reserving).await else {
-        return Err(BodyError::NoMemory);
+fn body_error_response(error: &BodyError, max_retry_after: Duration) -> Response {
+    let status = match error {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Incomplete => StatusCode::BAD_REQUEST,
+        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyError::NoMemory => return shed_response(max_retry_after),
+        // Another dispatcher can serve the request at once.
+        BodyError::ShuttingDown => return shed_response(Duration::ZERO),
     };
-    match timeout_at(times_out_at, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(reservation.attach(body.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Incomplete),
-        Err(_) => Err(BodyError::TimedOut),
-    }
+    text_response(status, &error.to_string())
 }
 
 /// Handles `POST /v1/chat/completions`.
@@ -246,11 +203,13 @@
             return text_response(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
-    let body = match read_body(body, &frontend.body_memory, received_at + BODY_TIMEOUT).await {
+    let arrivals_end = head.extensions.get::<ArrivalsEnd>().cloned();
+    let arrivals_end = arrivals_end.unwrap_or_default();
+    let body = match read_body(body, &frontend.body_memory, received_at, arrivals_end).await {
         Ok(body) => body,
         Err(error) => {
             let max_retry_after = Duration::from_micros(deployment.settings.max_retry_after);
-            return error.into_response(max_retry_after);
+            return body_error_response(&error, max_retry_after);
         }
     };
     let migration_slot = head.extensions.get::<SharedMigrationSlot>().cloned();
@@ -263,6 +222,7 @@
         client_request_id,
         target: target.into(),
         body,
+        stream_can_migrate: migration_slot.is_some(),
     };
     let elapsed_us = received_at.elapsed().as_micros() as u64;
     metadata.time_left = metadata.time_left.saturating_sub(elapsed_us);
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -197,7 +197,7 @@
     incoming
         .serve_until_draining(&mut connections, shutdown.clone())
         .await;
-    if *shutdown.borrow() == ShutdownPhase::Closing && *accepts.borrow() {
+    if *shutdown.borrow() >= ShutdownPhase::Closing && *accepts.borrow() {
         // No other process will accept the connections that already wait in the accept queue.
         while let Some(permit) = connections.admission.try_acquire_permit() {
             let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
@@ -208,7 +208,7 @@
     }
     drop(listener);
     info!(log, "listener closed"; "open_connections" => connections.tasks.len());
-    let mut closing = std::pin::pin!(shutdown.wait_for(|phase| *phase == ShutdownPhase::Closing));
+    let mut closing = std::pin::pin!(shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing));
     loop {
         tokio::select! {
             biased;
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -13,6 +13,7 @@
 pub mod identifiers;
 pub mod listener;
 pub mod memory_budget;
+mod request_body;
 mod request_service;
 pub mod websocket;
 
@@ -25,4 +26,6 @@
     Draining,
     /// Idle connections are closed at once, the others after the requests in flight.
     Closing,
+    /// The process may soon be killed: requests that have not arrived completely are refused.
+    Ending,
 }
--- a/src/frontend/request_service.rs
+++ b/src/frontend/request_service.rs
@@ -6,6 +6,7 @@
 use super::admission::ListenerState;
 use super::client_socket::{ClientSocket, READ_BUFFER_BYTES};
 use super::connection::{ClientConnection, ConnectionPhase};
+use super::request_body::ArrivalsEnd;
 use crate::net::message_framing::DeclaredBody;
 use crate::upgrade::stream_migration::ConnectionState;
 use crate::variants::{is_enabled, Variant};
@@ -135,6 +136,8 @@
             let slot = self.client.migration_slot().clone();
             request.extensions_mut().insert(slot);
         }
+        let arrivals_end = ArrivalsEnd::new(self.listener_state.shutdown().clone());
+        request.extensions_mut().insert(arrivals_end);
         if wants_connection_close(&request) {
             self.client.set_closes_after_response();
         }
@@ -190,6 +193,7 @@
 ) {
     let _ = stream.set_nodelay(true);
     let mut shutdown = listener_state.shutdown().clone();
+    let mut ending = listener_state.shutdown().clone();
     let migration_sender = listener_state.migration_sender().clone();
     let mut socket = ClientSocket::new(stream, client.clone(), listener_state.clone());
     let mut resumed_response = None;
@@ -231,6 +235,7 @@
             }
             _ = connection.as_mut() => return,
             () = client.wait_until_expired() => return,
+            () = client.wait_until_head_is_refused(&mut ending) => return,
             // The socket is dropped without a shutdown, because the other process now uses it.
             is_migrated = migration.as_mut() => {
                 if is_migrated {
--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -147,7 +147,7 @@
     State(frontend): State<SessionFrontend>,
     upgrade: WebSocketUpgrade,
 ) -> Response {
-    if *frontend.shutdown.borrow() == ShutdownPhase::Closing {
+    if *frontend.shutdown.borrow() >= ShutdownPhase::Closing {
         return (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response();
     }
     let Some(session_slot) = frontend.acquire_session_slot().await else {
--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -241,6 +241,7 @@
             client_request_id: upstream_id.into(),
             target: "/v1/chat/completions".into(),
             body: self.body.clone(),
+            stream_can_migrate: false,
         };
         self.frontend
             .dispatcher
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -160,7 +160,7 @@
         tokio::select! {
             biased;
             Some(message) = self.queued_messages.recv() => SessionStep::Send(message),
-            _ = shutdown.wait_for(|phase| *phase == ShutdownPhase::Closing), if !self.is_shutting_down => {
+            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing), if !self.is_shutting_down => {
                 self.is_shutting_down = true;
                 SessionStep::Continue
             }
--- a/src/process/frontends.rs
+++ b/src/process/frontends.rs
@@ -129,6 +129,11 @@
         let _ = self.shutdown_phase.send(phase);
     }
 
+    /// Returns the sender of the phase, for a task that changes it while the frontends are waited for.
+    pub(super) fn shutdown_phase_sender(&self) -> watch::Sender<ShutdownPhase> {
+        self.shutdown_phase.clone()
+    }
+
     /// Waits until all connections and sessions are closed.
     pub(super) async fn wait_until_closed(&mut self) {
         while self.tasks.join_next().await.is_some() {}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod listeners;
 pub mod logging;
 mod shutdown;
+mod shutdown_schedule;
 mod signals;
 mod takeover;
 mod tasks;
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -1,9 +1,10 @@
 //! Runs the process once its tasks have started: accepts clients until a termination signal, then drains.
 //!
-//! All times of the drain count backwards from the earliest moment at which the process may be killed. During the drain
-//! connections are closed, requests finish, and streams migrate to another process of the dispatcher if there is one.
+//! `shutdown_schedule` has the times of the drain. During the drain connections are closed, requests finish, late ones are
+//! refused, and streams migrate to another process of the dispatcher if there is one.
 
 use super::frontends::Frontends;
+use super::shutdown_schedule::ShutdownSchedule;
 use super::signals::TerminationSignals;
 use super::takeover;
 use super::tasks::UpgradeChannels;
@@ -20,20 +21,6 @@
 /// How long new connections are still accepted after SIGTERM, so that load balancers can notice that the process is not
 /// ready.
 const LISTEN_GRACE_PERIOD: Duration = Duration::from_millis(500);
-/// Maximum duration of the drain. Open requests get the longest deadline of any class to finish, but no more than this:
-/// the process may be killed [`KILL_MARGIN`] later.
-const MAX_DRAIN_DURATION: Duration = Duration::from_secs(3);
-/// Time between the end of the drain and the earliest kill.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// How long before the earliest kill all requests but streams are answered, so that their reservations can be released.
-const RELEASE_MARGIN: Duration = Duration::from_millis(500);
-
-/// How long before the earliest kill streams begin to migrate also to a process that does not serve. It may not be able
-/// to finish them, but staying here they would be cut by the kill.
-const FALLBACK_RECEIVER_MARGIN: Duration = Duration::from_millis(800);
-/// How long before the earliest kill the requests that are still open are logged.
-const WARNING_MARGIN: Duration = Duration::from_millis(200);
-
 /// A process whose tasks have started.
 pub(super) struct Process {
     pub dispatcher: DispatcherHandle,
@@ -79,19 +66,22 @@
         let has_successor = self.upgrade.peers.borrow_and_update().serving.is_some();
         info!(self.log, "draining"; "open_requests" => self.dispatcher.open_requests(), "has_successor" => has_successor);
         let max_deadline = Duration::from_micros(self.dispatcher.deployment().limits.max_deadline);
-        let until_kill = max_deadline.min(MAX_DRAIN_DURATION) + KILL_MARGIN;
-        let kill_at = Instant::now() + until_kill;
-        let drain = Event::Drain(until_kill - RELEASE_MARGIN);
-        self.dispatcher.send(drain).await;
+        let schedule = ShutdownSchedule::new(Instant::now(), max_deadline);
+        // Ahead of queued requests, as the times of the schedule count from now.
+        self.dispatcher
+            .send_urgent(Event::Drain(schedule.drain))
+            .await;
         let _ = self.upgrade.process_state.send(ProcessState::Leaving);
         self.accept_during_grace_period().await;
         self.frontends.set_shutdown_phase(ShutdownPhase::Closing);
+        let shutdown_phase = self.frontends.shutdown_phase_sender();
         let migration = MigrationControl {
             peers: self.upgrade.peers.clone(),
             switch: &self.upgrade.migration_switch,
-            fallback_at: kill_at - FALLBACK_RECEIVER_MARGIN,
+            dispatcher: self.dispatcher.clone(),
+            endpoint_streams_migrate: self.upgrade.endpoint_streams_migrate,
+            fallback_at: schedule.fallback_receivers_at,
         };
-        let warn_at = kill_at - WARNING_MARGIN;
         let until_idle = async {
             self.frontends.wait_until_closed().await;
             self.dispatcher.wait_until_idle().await;
@@ -99,7 +89,8 @@
         tokio::select! {
             () = until_idle => {}
             () = migration.run() => {}
-            () = warn_of_unfinished_work(&self.dispatcher, warn_at, &self.log) => {}
+            () = end_arrivals(shutdown_phase, schedule.arrivals_end_at) => {}
+            () = warn_of_unfinished_work(&self.dispatcher, schedule.warn_at, &self.log) => {}
         }
     }
 
@@ -115,10 +106,13 @@
     }
 }
 
-/// Turns the migration of streams on while another process can receive them, and off while none can.
+/// Turns the migration of streams on while another process can receive them, and off while none can. Also tells the core
+/// whether the streams of requests that still arrive can migrate.
 struct MigrationControl<'a> {
     peers: watch::Receiver<PeerProcesses>,
     switch: &'a watch::Sender<bool>,
+    dispatcher: DispatcherHandle,
+    endpoint_streams_migrate: bool,
     /// From this moment on, streams also migrate to a process that does not serve.
     fallback_at: Instant,
 }
@@ -128,6 +122,9 @@
     async fn run(mut self) {
         loop {
             let peers = *self.peers.borrow_and_update();
+            let is_available = peers.serving.is_some() && self.endpoint_streams_migrate;
+            let receiver_changed = Event::StreamReceiverChanged { is_available };
+            self.dispatcher.send_urgent(receiver_changed).await;
             let allows_fallback = Instant::now() >= self.fallback_at;
             let has_receiver =
                 peers.serving.is_some() || allows_fallback && peers.stream_receiver().is_some();
@@ -142,6 +139,14 @@
     }
 }
 
+/// Refuses the requests that are still arriving at `ends_at`. Never returns.
+async fn end_arrivals(shutdown_phase: watch::Sender<ShutdownPhase>, ends_at: Instant) {
+    sleep_until(ends_at).await;
+    // Fails only if no frontend is running any more; then no request is arriving.
+    let _ = shutdown_phase.send(ShutdownPhase::Ending);
+    std::future::pending::<()>().await;
+}
+
 /// Logs the number of open requests shortly before the earliest kill, if there are any. Never returns.
 async fn warn_of_unfinished_work(dispatcher: &DispatcherHandle, warn_at: Instant, log: &Logger) {
     sleep_until(warn_at).await;
--- a/src/process/tasks.rs
+++ b/src/process/tasks.rs
@@ -65,6 +65,8 @@
     /// The state of this process that is announced to others.
     pub process_state: watch::Sender<ProcessState>,
     pub peers: watch::Receiver<PeerProcesses>,
+    /// Whether the streams of all endpoints can migrate.
+    pub endpoint_streams_migrate: bool,
 }
 
 /// The tasks without which the dispatcher would accept requests and not answer them. If one ends, the process ends.
@@ -229,7 +231,10 @@
                 set_peers,
             ));
         }
+        // A stream over a WebSocket session stays with the process that has the session.
+        let websocket_endpoints = &startup.budgets.sessions.config.websocket_endpoints;
         let channels = UpgradeChannels {
+            endpoint_streams_migrate: websocket_endpoints.is_empty(),
             migration_switch,
             process_state,
             peers,
--- a/tests/backend/support.rs
+++ b/tests/backend/support.rs
@@ -51,6 +51,7 @@
                 client_request_id: format!("n{}", self.id).as_str().into(),
                 target: "/v1/chat/completions".into(),
                 body: self.body,
+                stream_can_migrate: true,
             },
             timeout: self.timeout,
             needs_new_connection: self.needs_new_connection,
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -483,3 +483,87 @@
         }
     }
 }
+
+/// A complete request of a class that must not run twice, with a body of two bytes.
+fn non_idempotent_request() -> String {
+    let head = HEAD.replace("status-query", "return-request");
+    format!("{head}Content-Length: 2\r\n\r\n{{}}")
+}
+
+/// A request that ends arriving late in a shutdown is refused without an attempt, in whatever way it arrives: in pieces, on
+/// a kept connection, or behind a request in flight. It used to be started, and the kill cut its stream (review/2).
+#[tokio::test(start_paused = true)]
+async fn a_request_that_ends_arriving_late_in_a_shutdown_is_refused_and_never_runs() {
+    let request = non_idempotent_request();
+    let body_start = request.len() - 2;
+    for cut in [20, body_start, request.len() - 1] {
+        for is_kept in [false, true] {
+            let fleet = Fleet::start(false).await;
+            let mut client = TcpStream::connect(&fleet.http_address).await.unwrap();
+            client.set_nodelay(true).unwrap();
+            if is_kept {
+                client.write_all(GET.as_bytes()).await.unwrap();
+                assert!(read_until(&mut client, "ready\n").await.contains("200"));
+            }
+            client.write_all(&request.as_bytes()[..cut]).await.unwrap();
+            sleep(Duration::from_millis(1)).await; // the listener has read it
+            fleet.drain().await;
+            sleep(Duration::from_secs(1)).await;
+            client.write_all(&request.as_bytes()[cut..]).await.unwrap();
+            let response = read_until(&mut client, "").await;
+            assert!(
+                response.starts_with("HTTP/1.1 503") && response.contains("retry-after: 0.000"),
+                "cut at {cut}, kept: {is_kept}: {response}"
+            );
+            assert_eq!(fleet.activity.lock().unwrap().attempts, []);
+        }
+    }
+}
+
+/// A stream in flight at the shutdown is served whole, and the request that its client has sent behind it is refused.
+#[tokio::test(start_paused = true)]
+async fn a_request_behind_a_stream_is_refused_after_the_stream_in_a_shutdown() {
+    let fleet = Fleet::start(false).await;
+    fleet.set_behavior(2, Behavior::Pause);
+    let request = non_idempotent_request();
+    let second = request.replace("X-Trace-Id: c", "X-Trace-Id: second");
+    let mut client = send(&fleet.http_address, &format!("{request}{second}")).await;
+    read_until(&mut client, "\n\n\r\n").await;
+    fleet.drain().await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.resume.notify_one();
+    let response = read_until(&mut client, "").await;
+    let (stream, refusal) = response.split_once("0\r\n\r\n").expect("the last chunk");
+    assert!(stream.contains(STREAM_EVENTS[2]), "{stream}");
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert_eq!(fleet.attempts_at(2), 1);
+}
+
+/// At the end of a shutdown, a request whose body has not arrived is refused at once and one whose head has not arrived is
+/// closed, while a stream in flight continues. A body used to be read past the kill.
+#[tokio::test(start_paused = true)]
+async fn at_the_end_of_a_shutdown_what_has_not_arrived_is_refused_and_streams_continue() {
+    let fleet = Fleet::start(false).await;
+    fleet.set_behavior(2, Behavior::Pause);
+    let request = non_idempotent_request();
+    let mut stream = send(&fleet.http_address, &request).await;
+    assert!(read_until(&mut stream, "\n\n\r\n").await.contains("200"));
+    let mut half_head = send(&fleet.http_address, &request[..20]).await;
+    let mut half_body = send(&fleet.http_address, &request[..request.len() - 1]).await;
+    sleep(Duration::from_millis(1)).await; // the listener has read them
+    fleet.drain().await;
+    sleep(Duration::from_secs(1)).await;
+    let ending = Instant::now();
+    fleet.shutdown.send(ShutdownPhase::Ending).unwrap();
+    let response = read_until(&mut half_body, "").await;
+    assert!(
+        response.starts_with("HTTP/1.1 503") && response.contains("retry-after"),
+        "{response}"
+    );
+    assert_eq!(read_until(&mut half_head, "").await, "");
+    assert!(ending.elapsed() < Duration::from_millis(100));
+    sleep(Duration::from_secs(1)).await;
+    fleet.resume.notify_one();
+    let response = read_until(&mut stream, "0\r\n\r\n").await;
+    assert!(response.contains(STREAM_EVENTS[2]), "{response}");
+}
--- a/tests/dispatcher_harness/mod.rs
+++ b/tests/dispatcher_harness/mod.rs
@@ -79,6 +79,7 @@
         client_request_id: client_request_id.into(),
         target: "/v1/chat/completions".into(),
         body: "{}".into(),
+        stream_can_migrate: true,
     };
     let (sender, outcome) = oneshot::channel();
     let event = Event::RequestArrived {
--- a/tests/draining.rs
+++ b/tests/draining.rs
@@ -177,6 +177,7 @@
             client_request_id: format!("n{number}").into(),
             target: "/".into(),
             body: "{}".into(),
+            stream_can_migrate: true,
         };
         tokio::task::unconstrained(dispatcher.submit(RequestMetadata::default(), request))
             .now_or_never()
--- a/tests/received_streams.rs
+++ b/tests/received_streams.rs
@@ -7,7 +7,7 @@
 use miniserde::json;
 use quartzhall::backend::{self, StreamMigration};
 use quartzhall::config::{Deployment, SettingsObject};
-use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle};
+use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle, DrainSchedule, Event};
 use quartzhall::frontend::http::StreamResumer;
 use quartzhall::frontend::listener::{self, MigrationChannels};
 use quartzhall::frontend::memory_budget::BodyMemoryBudget;
@@ -389,3 +389,33 @@
     second.wait_for_open_requests(0).await;
     std::fs::remove_file(socket_path).unwrap();
 }
+
+/// A request that came with a received stream is refused if it would begin late in the shutdown of the process that has it.
+#[tokio::test(start_paused = true)]
+async fn request_behind_a_received_stream_is_refused_late_in_a_shutdown() {
+    const POST: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: c\r\nX-Qos: return-request\r\nX-Customer: acme\r\nX-Object: 7f3a\r\nX-Expires-In-Ms: 9000\r\nX-Props: prompt_len=500,max_out=100\r\nContent-Length: 2\r\n\r\n{}";
+    let receiver = ReceivingProcess::start().await;
+    let connection = ConnectionState {
+        unsent: Bytes::new(),
+        pipelined: Bytes::from_static(POST.as_bytes()),
+        closes_after_response: false,
+    };
+    let mut stream = receiver.receive(Duration::ZERO, connection).await;
+    receiver.wait_for_open_requests(1).await;
+    let schedule = DrainSchedule {
+        admit_within: Duration::from_millis(550),
+        respond_within: Duration::from_millis(3_200),
+    };
+    receiver.dispatcher.send(Event::Drain(schedule)).await;
+    receiver.shutdown.send(ShutdownPhase::Closing).unwrap();
+    sleep(Duration::from_millis(600)).await;
+    stream.send(&[CHUNK, LAST_CHUNK].concat()).await;
+    let text = stream.read_until("").await;
+    let (response, refusal) = text.split_once(LAST_CHUNK).unwrap();
+    assert_eq!(response, CHUNK);
+    assert!(
+        refusal.starts_with("HTTP/1.1 503") && refusal.contains("retry-after: 0.000"),
+        "{refusal}"
+    );
+    receiver.wait_for_open_requests(0).await;
+}
--- a/tests/unit/dispatcher/guard.rs
+++ b/tests/unit/dispatcher/guard.rs
@@ -54,6 +54,7 @@
         client_request_id: "a".into(),
         target: "/".into(),
         body: "{}".into(),
+        stream_can_migrate: true,
     };
     let metadata = RequestMetadata {
         time_left: 5_000 * MS,
