--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -225,6 +225,8 @@
     /// Closes the socket with a closing handshake, for at most [`CLOSE_TIMEOUT`]. Requests in flight continue in their
     /// tasks.
     async fn close(mut self, (code, reason): CloseReason) {
+        debug!(self.frontend.log, "session closing"; "code" => code, "has_requests" => self.activity.has_requests(),
+            "queued_messages" => self.queued_messages.len());
         let close = Message::Close(Some(CloseFrame {
             code,
             reason: reason.into(),
@@ -334,6 +336,8 @@
                     .try_send(self.message_sender.clone())
                     .is_ok()
                 {
+                    debug!(self.frontend.log, "request moved to another session"; "client_request_id" => id,
+                        "has_requests" => self.activity.has_requests());
                     return Lookup::ResponseQueued;
                 }
                 // The task has not yet answered the sessions that attached before, and its queue is full. This is not a
