Count a moved request at the session that receives its messages, so that it is not closed

Its session was closed with 1001 in the middle of the answer, 3.2 s before the earliest kill, and its write was cut. At the limit of sessions the same session was closed with 1013.

Events of one run, in ms after SIGTERM, with the lines of the commit before: socket drops -201, "request moved to another session" with has_requests false -101, "draining" 0, "first event" 82, "listener closed" 501, "session closing" code 1001, has_requests false, 501, "session closed with a request in flight", is_streaming true, 903 (reattach_ms after the close), attempt ended "Cancelled" 903.

Hypotheses, told apart by these lines: the request had ended or failed - no, it streamed until 903; a shutdown closes every session - no, with TROUBLE=0 the session is closed 2,282 ms after SIGTERM, after "served"; the session went for want of a sign of life or at a limit - no, the code is 1001 at the phase's change; the session that receives the messages counts as one without a request - yes, has_requests is false there from the move on. The permit stayed with the session that submitted the request first.

Invariant: a request counts at the session to which its messages go, until its final message is queued there. Its owner is AttachedSession: the sender of a session's messages and the count there are one value, so a task can't have one without the other, and moving it moves both. SessionActivity has a file of its own. A request moves to a session also beyond most_requests, as it runs already; new ones are refused there. The refusal of new requests in a shutdown is the core's alone now (the session had a copy of it).

Why it works: both reasons for which a dispatcher ends a session of its own accord, 1001 and 1013, ask that count.

--- a/src/frontend/websocket/idempotency_cache.rs
+++ b/src/frontend/websocket/idempotency_cache.rs
@@ -2,6 +2,7 @@
 //!
 //! The cache is bounded in entries and in bytes of text. Each dispatcher has its own.
 
+use super::session_activity::AttachedSession;
 use crate::config::SessionConfig;
 use axum::extract::ws::Message;
 use std::collections::{HashMap, VecDeque};
@@ -34,7 +35,7 @@
 /// The progress of a request.
 pub(super) enum RequestState {
     /// A task runs the request. A session that submits the request again is attached to that task.
-    InFlight(mpsc::Sender<MessageSender>),
+    InFlight(mpsc::Sender<AttachedSession>),
     /// The client disconnected before the response began, and the request did not run or is idempotent. It may be
     /// submitted again.
     Abandoned,
--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -10,6 +10,7 @@
 mod messages;
 mod request_task;
 mod session;
+mod session_activity;
 
 pub use messages::{
     parse, take_complete_utf8, ClientMessage, ClientRequest, InvalidMessage, InvalidMessageReason,
@@ -26,7 +27,8 @@
 use axum::routing::get;
 use axum::Router;
 use idempotency_cache::IdempotencyCache;
-use session::{Session, SessionActivity};
+use session::Session;
+use session_activity::SessionActivity;
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -159,7 +161,7 @@
         .max_frame_size(max_message_bytes)
         .read_buffer_size(READ_BUFFER_BYTES);
     upgrade.on_upgrade(move |socket| async move {
-        let activity = Arc::new(SessionActivity::new(frontend.config.max_requests));
+        let activity = SessionActivity::new(frontend.config.max_requests);
         let number = frontend.allocate_number();
         frontend.sessions().insert(number, activity.clone());
         Session::new(frontend.clone(), activity, socket).run().await;
--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -3,8 +3,9 @@
 //! The task owns the request from its submission to its final message. Meanwhile the client may reconnect: the response
 //! then goes to another socket.
 
-use super::idempotency_cache::{FinalOutcome, MessageSender, RequestKey, RequestState};
+use super::idempotency_cache::{FinalOutcome, RequestKey, RequestState};
 use super::messages::{take_complete_utf8, ServerMessage};
+use super::session_activity::AttachedSession;
 use super::SessionFrontend;
 use crate::dispatcher::{Outcome, PendingRequest, StreamChunk, UpstreamRequest};
 use crate::routing::api::{Idempotency, RequestClass, RequestMetadata};
@@ -13,7 +14,7 @@
 use slog::debug;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Time for the dispatcher to report, after a client has disconnected, whether its request may have run.
@@ -30,10 +31,10 @@
     pub(super) body: Bytes,
     /// The deadline of the first submission of this client request id.
     pub(super) deadline: Instant,
-    /// Queues messages for the socket that submitted the request last.
-    pub(super) message_sender: MessageSender,
+    /// The session that submitted the request last.
+    pub(super) session: AttachedSession,
     /// Receives the sessions that submit the request again while it is in flight.
-    pub(super) attachments: mpsc::Receiver<MessageSender>,
+    pub(super) attachments: mpsc::Receiver<AttachedSession>,
     /// Receives the client's cancellation.
     pub(super) cancelled: mpsc::Receiver<()>,
     /// Set while no socket is attached: the time until which a session may attach.
@@ -82,7 +83,7 @@
     /// The client has cancelled the request.
     Cancelled,
     /// A session has submitted the request again.
-    Attached(MessageSender),
+    Attached(AttachedSession),
     /// The attached socket was closed.
     Detached,
     /// No session has submitted the request again in time.
@@ -95,9 +96,8 @@
 
 impl RequestTask {
     /// Runs the request and reports its outcome. If the client has disconnected and reconnected meanwhile, the request
-    /// is submitted to the dispatcher again. `slot` is the permit of the session that started this task, and is held
-    /// until the task ends.
-    pub(super) async fn run(mut self, slot: OwnedSemaphorePermit) {
+    /// is submitted to the dispatcher again.
+    pub(super) async fn run(mut self) {
         let is_idempotent = self.class.idempotency == Idempotency::Idempotent;
         let outcome = loop {
             match self.run_submission().await {
@@ -116,7 +116,6 @@
             }
         };
         self.finish(outcome).await;
-        drop(slot);
     }
 
     /// Attaches to a session that has submitted the request again. Without one, marks the request as abandoned and
@@ -125,8 +124,8 @@
     fn reattach_or_abandon(&mut self) -> bool {
         let mut cache = self.frontend.cache();
         match self.attachments.try_recv() {
-            Ok(message_sender) => {
-                self.message_sender = message_sender;
+            Ok(session) => {
+                self.session = session;
                 true
             }
             Err(_) => {
@@ -148,7 +147,7 @@
             FinalOutcome::Failed(reason) => ServerMessage::Failed { id, reason },
         }
         .to_message();
-        let _ = self.message_sender.send(final_message.clone()).await;
+        let _ = self.session.send(final_message.clone()).await;
         self.frontend.cache().finish(
             &self.key,
             RequestState::Finished(outcome),
@@ -156,11 +155,13 @@
         );
         // From here on, a session that submits the request finds it in the cache. One that submitted it just before is
         // answered here.
-        while let Ok(message_sender) = self.attachments.try_recv() {
+        while let Ok(session) = self.attachments.try_recv() {
+            self.session = session;
             if !self.response.text.is_empty() {
-                let _ = message_sender.send(self.event(&self.response.text)).await;
+                let event = self.event(&self.response.text);
+                let _ = self.session.send(event).await;
             }
-            let _ = message_sender.send(final_message.clone()).await;
+            let _ = self.session.send(final_message.clone()).await;
         }
     }
 
@@ -186,7 +187,7 @@
                     drop(pending_request);
                     return SubmissionResult::Final(FinalOutcome::Failed("cancelled"));
                 }
-                SubmissionEvent::Attached(message_sender) => self.on_attached(message_sender).await,
+                SubmissionEvent::Attached(session) => self.on_attached(session).await,
                 SubmissionEvent::Detached => {
                     self.start_reattach_window();
                     None
@@ -268,8 +269,8 @@
         tokio::select! {
             biased;
             Some(()) = self.cancelled.recv() => SubmissionEvent::Cancelled,
-            Some(message_sender) = self.attachments.recv() => SubmissionEvent::Attached(message_sender),
-            () = self.message_sender.closed(), if !is_detached => SubmissionEvent::Detached,
+            Some(session) = self.attachments.recv() => SubmissionEvent::Attached(session),
+            () = self.session.closed(), if !is_detached => SubmissionEvent::Detached,
             () = sleep_until(reattach_window_end), if is_detached => SubmissionEvent::ReattachWindowEnded,
             outcome = outcome, if !is_streaming => SubmissionEvent::Outcome(outcome.ok()),
             chunk = next_chunk, if is_streaming && !is_detached => SubmissionEvent::Chunk(chunk),
@@ -282,8 +283,8 @@
     }
 
     /// Switches to another socket, which receives the response from its beginning.
-    async fn on_attached(&mut self, message_sender: MessageSender) -> Option<FinalOutcome> {
-        self.message_sender = message_sender;
+    async fn on_attached(&mut self, session: AttachedSession) -> Option<FinalOutcome> {
+        self.session = session;
         self.reattach_until = None;
         if self.response.is_over_limit {
             return Some(FinalOutcome::Failed(
@@ -292,7 +293,7 @@
         }
         if !self.response.text.is_empty() {
             let event = self.event(&self.response.text);
-            let _ = self.message_sender.send(event).await;
+            let _ = self.session.send(event).await;
         }
         None
     }
@@ -338,7 +339,7 @@
     }
 
     async fn forward_text(&mut self, text: &str) {
-        let sent = self.message_sender.send(self.event(text)).await;
+        let sent = self.session.send(self.event(text)).await;
         let max_cached_bytes = self.frontend.config.max_cached_response_bytes;
         self.response.push(text, max_cached_bytes);
         if sent.is_err() {
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -8,6 +8,7 @@
 };
 use super::messages::{parse, ClientMessage, ClientRequest, InvalidMessage, ServerMessage};
 use super::request_task::{CacheableText, RequestTask};
+use super::session_activity::{AttachedSession, OpenRequest, SessionActivity};
 use super::SessionFrontend;
 use crate::config::Deployment;
 use crate::frontend::ShutdownPhase;
@@ -15,9 +16,9 @@
 use bytes::Bytes;
 use slog::debug;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch, Notify, Semaphore};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{interval_at, timeout, Instant, Interval};
 
 /// The most messages that may be queued for a session's socket.
@@ -29,52 +30,6 @@
 /// Time for the closing handshake.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The part of a session's state that other sessions see: how long it has been idle, and whether it has requests in
-/// flight.
-pub(super) struct SessionActivity {
-    /// When the client sent its last text message; at first, when it connected.
-    last_message_at: Mutex<Instant>,
-    /// One permit per request that may be in flight.
-    request_slots: Arc<Semaphore>,
-    /// The total number of permits in `request_slots`.
-    max_requests: usize,
-    close_requested: Notify,
-}
-
-impl SessionActivity {
-    pub(super) fn new(max_requests: usize) -> SessionActivity {
-        SessionActivity {
-            last_message_at: Mutex::new(Instant::now()),
-            request_slots: Arc::new(Semaphore::new(max_requests)),
-            max_requests,
-            close_requested: Notify::new(),
-        }
-    }
-
-    fn last_message_at(&self) -> MutexGuard<'_, Instant> {
-        self.last_message_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(super) fn idle_since(&self) -> Instant {
-        *self.last_message_at()
-    }
-
-    pub(super) fn idle_time(&self) -> Duration {
-        self.idle_since().elapsed()
-    }
-
-    pub(super) fn has_requests(&self) -> bool {
-        self.request_slots.available_permits() != self.max_requests
-    }
-
-    /// Asks the session to close, which it does only if it is still idle.
-    pub(super) fn request_close(&self) {
-        self.close_requested.notify_one();
-    }
-}
-
 /// A close code and the reason that is sent with it.
 type CloseReason = (u16, &'static str);
 
@@ -96,11 +51,11 @@
     message_sender: MessageSender,
     /// Messages from request tasks, to be sent on the socket.
     queued_messages: mpsc::Receiver<Message>,
-    /// Cancels the requests that this socket submitted, by client request id.
+    /// Cancels the requests that this socket submitted, first or again, by client request id.
     cancel_senders: HashMap<String, mpsc::Sender<()>>,
     /// When the client last sent a message of any type; at first, when it connected.
     last_received_at: Instant,
-    /// Set in [`ShutdownPhase::Closing`]: new requests are shed, and the session closes as soon as it is idle.
+    /// Set in [`ShutdownPhase::Closing`]: the session closes as soon as it is idle.
     is_shutting_down: bool,
 }
 
@@ -145,7 +100,7 @@
         }
     }
 
-    /// Returns whether no request is in flight and no message is queued.
+    /// Returns whether the session owes no final message and none is queued.
     fn is_idle(&self) -> bool {
         !self.activity.has_requests() && self.queued_messages.is_empty()
     }
@@ -164,12 +119,9 @@
                 self.is_shutting_down = true;
                 SessionStep::Continue
             }
-            // Ready when the last request in flight has ended, so that the loop checks again whether the session is
-            // idle.
-            Ok(_) = activity.request_slots.acquire_many(activity.max_requests as u32), if self.is_shutting_down => {
-                SessionStep::Continue
-            }
-            () = activity.close_requested.notified() => {
+            // The loop then checks again whether the session is idle.
+            () = activity.wait_until_no_requests(), if self.is_shutting_down => SessionStep::Continue,
+            () = activity.close_requested() => {
                 if self.is_idle() {
                     SessionStep::Close((close_code::AGAIN, "no session is free"))
                 } else {
@@ -204,7 +156,7 @@
                 SessionStep::Close((close_code::UNSUPPORTED, "text messages only"))
             }
             Some(Ok(Message::Text(text))) => {
-                *self.activity.last_message_at() = self.last_received_at;
+                self.activity.on_message(self.last_received_at);
                 self.cancel_senders
                     .retain(|_, cancel_sender| !cancel_sender.is_closed());
                 match self.on_text(&text) {
@@ -225,7 +177,7 @@
     /// Closes the socket with a closing handshake, for at most [`CLOSE_TIMEOUT`]. Requests in flight continue in their
     /// tasks.
     async fn close(mut self, (code, reason): CloseReason) {
-        debug!(self.frontend.log, "session closing"; "code" => code, "has_requests" => self.activity.has_requests(),
+        debug!(self.frontend.log, "session closing"; "code" => code, "open_requests" => self.activity.open_requests(),
             "queued_messages" => self.queued_messages.len());
         let close = Message::Close(Some(CloseFrame {
             code,
@@ -284,12 +236,8 @@
             let id = &key.client_request_id;
             Some(ServerMessage::Shed { id, retry_after }.to_message())
         };
-        if self.is_shutting_down {
-            return shed(Duration::ZERO);
-        }
         // A request over a limit is not started, so that the same id may be submitted again.
-        let slot = self.activity.request_slots.clone().try_acquire_owned();
-        let Ok(slot) = slot else {
+        let Some(open_request) = self.activity.try_open_request() else {
             return shed(LIMIT_RETRY_AFTER);
         };
         let Some(memory) = self.frontend.body_memory.try_reserve(body.len()) else {
@@ -313,16 +261,24 @@
             metadata,
             body: memory.attach(body),
             deadline,
-            message_sender: self.message_sender.clone(),
+            session: self.attach(open_request),
             attachments,
             cancelled,
             reattach_until: None,
             response: CacheableText::default(),
         };
-        tokio::spawn(task.run(slot));
+        tokio::spawn(task.run());
         None
     }
 
+    /// Returns what a task needs to send the messages of this request to the session.
+    fn attach(&self, open_request: OpenRequest) -> AttachedSession {
+        AttachedSession {
+            message_sender: self.message_sender.clone(),
+            _open_request: open_request,
+        }
+    }
+
     /// Looks up a request in the cache, and attaches this session to its task if it is in flight.
     fn look_up(&self, cache: &IdempotencyCache, key: &RequestKey, now: Instant) -> Lookup {
         let Some(request) = cache.get(key) else {
@@ -332,12 +288,10 @@
         let deadline = request.deadline;
         let response = match &request.state {
             RequestState::InFlight(attachment_sender) => {
-                if attachment_sender
-                    .try_send(self.message_sender.clone())
-                    .is_ok()
-                {
+                let session = self.attach(self.activity.open_request());
+                if attachment_sender.try_send(session).is_ok() {
                     debug!(self.frontend.log, "request moved to another session"; "client_request_id" => id,
-                        "has_requests" => self.activity.has_requests());
+                        "open_requests" => self.activity.open_requests());
                     return Lookup::ResponseQueued;
                 }
                 // The task has not yet answered the sessions that attached before, and its queue is full. This is not a
