A request that has moved to another session can be cancelled from there

What belongs to a running request, here its cancellation, stayed with the session that submitted it first. Change: the cache keeps both channels to the task of a running request, and a session that the request moves to takes the cancellation too.

--- a/src/frontend/websocket/idempotency_cache.rs
+++ b/src/frontend/websocket/idempotency_cache.rs
@@ -32,10 +32,18 @@
     Failed(&'static str),
 }
 
+/// The channels to the task that runs a request.
+pub(super) struct InFlightRequest {
+    /// Takes the sessions that submit the request again. Its messages go to the last one.
+    pub(super) attachment_sender: mpsc::Sender<AttachedSession>,
+    /// Cancels the request.
+    pub(super) cancel_sender: mpsc::Sender<()>,
+}
+
 /// The progress of a request.
 pub(super) enum RequestState {
-    /// A task runs the request. A session that submits the request again is attached to that task.
-    InFlight(mpsc::Sender<AttachedSession>),
+    /// A task runs the request.
+    InFlight(InFlightRequest),
     /// The client disconnected before the response began, and the request did not run or is idempotent. It may be
     /// submitted again.
     Abandoned,
@@ -50,6 +58,14 @@
 }
 
 impl CachedRequest {
+    /// Creates a request that a task has begun to run.
+    pub(super) fn in_flight(deadline: Instant, request: InFlightRequest) -> CachedRequest {
+        CachedRequest {
+            deadline,
+            state: RequestState::InFlight(request),
+        }
+    }
+
     /// Returns the size of the cached response text, in bytes; 0 if none is cached.
     fn text_bytes(&self) -> usize {
         match &self.state {
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -4,7 +4,8 @@
 //! the session for a short time.
 
 use super::idempotency_cache::{
-    CachedRequest, FinalOutcome, IdempotencyCache, MessageSender, RequestKey, RequestState,
+    CachedRequest, FinalOutcome, IdempotencyCache, InFlightRequest, MessageSender, RequestKey,
+    RequestState,
 };
 use super::messages::{parse, ClientMessage, ClientRequest, InvalidMessage, ServerMessage};
 use super::request_task::{CacheableText, RequestTask};
@@ -225,37 +226,40 @@
             client_request_id: id,
         };
         let now = Instant::now();
-        let mut cache = self.frontend.cache();
+        let frontend = self.frontend.clone();
+        let mut cache = frontend.cache();
         let deadline = match self.look_up(&cache, &key, now) {
             Lookup::Unknown => now + Duration::from_micros(metadata.time_left),
             Lookup::MayRun { deadline } => deadline,
+            Lookup::Moved { cancel_sender } => {
+                self.cancel_senders
+                    .insert(key.client_request_id, cancel_sender);
+                return None;
+            }
             Lookup::ResponseQueued => return None,
             Lookup::Answered(response) => return Some(response),
         };
-        let shed = |retry_after| {
-            let id = &key.client_request_id;
-            Some(ServerMessage::Shed { id, retry_after }.to_message())
-        };
         // A request over a limit is not started, so that the same id may be submitted again.
-        let Some(open_request) = self.activity.try_open_request() else {
-            return shed(LIMIT_RETRY_AFTER);
-        };
-        let Some(memory) = self.frontend.body_memory.try_reserve(body.len()) else {
-            return shed(LIMIT_RETRY_AFTER);
+        let open_request = self.activity.try_open_request();
+        let memory = frontend.body_memory.try_reserve(body.len());
+        let (Some(open_request), Some(memory)) = (open_request, memory) else {
+            let shed = ServerMessage::Shed {
+                id: &key.client_request_id,
+                retry_after: LIMIT_RETRY_AFTER,
+            };
+            return Some(shed.to_message());
         };
         let (attachment_sender, attachments) = mpsc::channel(MAX_QUEUED_ATTACHMENTS);
         let (cancel_sender, cancelled) = mpsc::channel(1);
         self.cancel_senders
-            .insert(key.client_request_id.clone(), cancel_sender);
-        cache.insert(
-            key.clone(),
-            CachedRequest {
-                deadline,
-                state: RequestState::InFlight(attachment_sender),
-            },
-        );
+            .insert(key.client_request_id.clone(), cancel_sender.clone());
+        let in_flight = InFlightRequest {
+            attachment_sender,
+            cancel_sender,
+        };
+        cache.insert(key.clone(), CachedRequest::in_flight(deadline, in_flight));
         let task = RequestTask {
-            frontend: self.frontend.clone(),
+            frontend: frontend.clone(),
             key,
             class: deployment.settings.classes[metadata.class].clone(),
             metadata,
@@ -287,12 +291,14 @@
         let id = &key.client_request_id;
         let deadline = request.deadline;
         let response = match &request.state {
-            RequestState::InFlight(attachment_sender) => {
+            RequestState::InFlight(in_flight) => {
                 let session = self.attach(self.activity.open_request());
-                if attachment_sender.try_send(session).is_ok() {
+                if in_flight.attachment_sender.try_send(session).is_ok() {
                     debug!(self.frontend.log, "request moved to another session"; "client_request_id" => id,
                         "open_requests" => self.activity.open_requests());
-                    return Lookup::ResponseQueued;
+                    return Lookup::Moved {
+                        cancel_sender: in_flight.cancel_sender.clone(),
+                    };
                 }
                 // The task has not yet answered the sessions that attached before, and its queue is full. This is not a
                 // final message, as the request is still in flight.
@@ -347,6 +353,8 @@
     Unknown,
     /// The request was submitted before and may run again. Its first deadline stays in force.
     MayRun { deadline: Instant },
+    /// The request is in flight, and its messages go to this session from now on.
+    Moved { cancel_sender: mpsc::Sender<()> },
     /// Another task queues the response for this session.
     ResponseQueued,
     /// The response to send now.
--- a/tests/moved_requests.rs
+++ b/tests/moved_requests.rs
@@ -167,3 +167,16 @@
     drop((first, second));
     fleet.assert_all_released().await;
 }
+
+/// The session that a request has moved to can cancel it. The cancellation used to be known only to the session that had
+/// submitted the request first, and was ignored.
+#[tokio::test]
+async fn a_moved_request_can_be_cancelled_from_its_session() {
+    for first_session in [FirstSession::Dropped, FirstSession::Open] {
+        let mut moved = MovedRequest::streaming(first_session).await;
+        moved.second.send(r#"{"type":"cancel","id":"moved"}"#).await;
+        let (kind, text) = moved.second.receive().await;
+        assert!(kind == "failed" && text.contains("cancelled"), "{text}");
+        moved.fleet.assert_all_released().await;
+    }
+}
