Answer what has arrived on an idle session before it is closed

What callers would see: a request that reaches a session in the moment of its close, at a restart or at the limit of sessions, is read and thrown away with the closing handshake and gets no final message; a cached answer could end after its event, without "served". Change: an idle session yields once and handles what has arrived before it closes, up to the last phase of a shutdown; a cached answer counts at its session until both messages are queued. 1001 and 1013 now mean that the session owes nothing: a request that crosses the close was not read, and did not run. Test: at_shutdown_a_request_that_has_arrived_is_answered_before_its_idle_session_closes. The close at the limit of sessions goes through the same function; no test forces that order.

--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -15,6 +15,7 @@
 use crate::frontend::ShutdownPhase;
 use axum::extract::ws::{close_code, CloseFrame, Message, WebSocket};
 use bytes::Bytes;
+use futures_util::FutureExt;
 use slog::debug;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -85,10 +86,13 @@
         let mut pings = interval_at(self.last_received_at + ping_interval, ping_interval);
         let mut shutdown = self.frontend.shutdown.clone();
         loop {
-            if self.is_shutting_down && self.is_idle() {
-                return self.close((close_code::AWAY, "the dispatcher ends")).await;
-            }
-            match self.next_step(&mut pings, &mut shutdown).await {
+            let step = if self.is_shutting_down && self.is_idle() {
+                self.close_or_read((close_code::AWAY, "the dispatcher ends"))
+                    .await
+            } else {
+                self.next_step(&mut pings, &mut shutdown).await
+            };
+            match step {
                 SessionStep::Continue => {}
                 SessionStep::Send(message) => {
                     if !self.send(message).await {
@@ -116,7 +120,7 @@
         tokio::select! {
             biased;
             Some(message) = self.queued_messages.recv() => SessionStep::Send(message),
-            _ = shutdown.wait_for(|phase| *phase >= ShutdownPhase::Closing), if !self.is_shutting_down => {
+            () = wait_until_closing(shutdown), if !self.is_shutting_down => {
                 self.is_shutting_down = true;
                 SessionStep::Continue
             }
@@ -124,7 +128,7 @@
             () = activity.wait_until_no_requests(), if self.is_shutting_down => SessionStep::Continue,
             () = activity.close_requested() => {
                 if self.is_idle() {
-                    SessionStep::Close((close_code::AGAIN, "no session is free"))
+                    self.close_or_read((close_code::AGAIN, "no session is free")).await
                 } else {
                     SessionStep::Continue
                 }
@@ -134,6 +138,20 @@
         }
     }
 
+    /// Closes the idle session, unless a message has arrived: that is handled first, so that a request gets its final
+    /// message. Near the end of the shutdown the session closes in any case.
+    async fn close_or_read(&mut self, reason: CloseReason) -> SessionStep {
+        if *self.frontend.shutdown.borrow() >= ShutdownPhase::Ending {
+            return SessionStep::Close(reason);
+        }
+        // Lets the runtime notice what has arrived.
+        tokio::task::yield_now().await;
+        match self.socket.recv().now_or_never() {
+            Some(received) => self.on_received(received),
+            None => SessionStep::Close(reason),
+        }
+    }
+
     fn session_timeout(&self) -> Duration {
         Duration::from_millis(self.frontend.config.session_timeout_ms)
     }
@@ -339,10 +357,10 @@
     fn send_cached_response(&self, id: &str, text: &str) {
         let event = ServerMessage::Event { id, data: text }.to_message();
         let served = ServerMessage::ServedBefore { id, has_text: true }.to_message();
-        let message_sender = self.message_sender.clone();
+        let session = self.attach(self.activity.open_request());
         tokio::spawn(async move {
-            let _ = message_sender.send(event).await;
-            let _ = message_sender.send(served).await;
+            let _ = session.send(event).await;
+            let _ = session.send(served).await;
         });
     }
 }
@@ -361,6 +379,12 @@
     Answered(Message),
 }
 
+async fn wait_until_closing(shutdown: &mut watch::Receiver<ShutdownPhase>) {
+    let _ = shutdown
+        .wait_for(|phase| *phase >= ShutdownPhase::Closing)
+        .await;
+}
+
 fn close_reason(error: &(dyn std::error::Error + 'static)) -> CloseReason {
     use tokio_tungstenite::tungstenite::Error;
     match error.downcast_ref::<Error>() {
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -279,8 +279,15 @@
     }
 
     /// Drains the dispatcher and tells its listeners to close, as at the end of the time in which new connections are
-    /// accepted. Requests that arrive from now on are shed; the others get their outcome within 3 s.
+    /// accepted.
     pub(crate) async fn drain(&self) {
+        self.start_drain().await;
+        self.shutdown.send(ShutdownPhase::Closing).unwrap();
+    }
+
+    /// Drains the dispatcher, but not its listeners. Requests that arrive from now on are shed; the others get their outcome
+    /// within 3 s.
+    pub(crate) async fn start_drain(&self) {
         let schedule = DrainSchedule {
             admit_within: Duration::ZERO,
             respond_within: Duration::from_secs(3),
@@ -289,6 +296,5 @@
         self.dispatcher
             .wait_for_readiness(dispatcher::Readiness::Draining)
             .await;
-        self.shutdown.send(ShutdownPhase::Closing).unwrap();
     }
 }
--- a/tests/websocket_sessions.rs
+++ b/tests/websocket_sessions.rs
@@ -3,6 +3,7 @@
 mod testbed;
 
 use futures_util::SinkExt;
+use quartzhall::frontend::ShutdownPhase;
 use std::time::Duration;
 use testbed::{request_message, Behavior, Fleet, SessionClient, STREAM_EVENTS};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -482,3 +483,27 @@
         "the session with a request in flight is not evicted"
     );
 }
+
+/// Requests that have arrived when their idle sessions are closed get their final messages first: a new one, and one that is
+/// answered from the cache with two messages. They used to be discarded unread.
+#[tokio::test]
+async fn at_shutdown_a_request_that_has_arrived_is_answered_before_its_idle_session_closes() {
+    let fleet = Fleet::start(false).await;
+    let mut client = SessionClient::connect(&fleet).await;
+    client.send_request("known", "return-request", 9000).await;
+    assert_eq!(client.receive_response("known").await.0, "served");
+    let mut other = SessionClient::connect(&fleet).await;
+    fleet.start_drain().await;
+    client.send_request("known", "return-request", 9000).await;
+    other.send_request("new", "return-request", 9000).await;
+    fleet.shutdown.send(ShutdownPhase::Closing).unwrap();
+    assert_eq!(
+        client.receive_response("known").await,
+        ("served".into(), STREAM_EVENTS.concat())
+    );
+    assert_eq!(other.receive_response("new").await.0, "refused");
+    for mut session in [client, other] {
+        assert_eq!(session.receive().await, ("close".into(), "1001".into()));
+    }
+    assert_eq!(fleet.attempts_at(2), 1);
+}
