--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,7 +1,7 @@
 //! Clients of the dispatchers: they send randomly drawn requests and record what they observe in the [`Oracle`].
 //!
-//! Most clients send one request on a connection of its own; some reuse a persistent connection. Some disconnect before
-//! their response arrives, and some read their stream late or slowly.
+//! Most clients send one request on a connection of its own; some reuse a persistent connection. Some write their request
+//! slowly, some disconnect before their response arrives, and some read their stream late or slowly.
 
 use crate::config::{IDEMPOTENT_CLASS, NON_IDEMPOTENT_CLASS};
 use crate::oracle::Oracle;
@@ -9,6 +9,7 @@
 use crate::wire::split_head;
 use rand::Rng;
 use rand_pcg::Pcg32;
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,6 +20,10 @@
 const NON_IDEMPOTENT_FRACTION: f64 = 0.3;
 /// Fraction of requests whose client disconnects if no response has arrived after a drawn time.
 const EARLY_DISCONNECT_FRACTION: f64 = 0.1;
+/// The longest time over which a client writes its request, in milliseconds. Dispatchers wait a little longer than that.
+const MAX_WRITE_TIME_MS: u64 = 2_000;
+/// Number of writes, and of waits between them, over which a slow client spreads its request.
+const SLOW_WRITES: usize = 8;
 /// The shortest deadline that is drawn, in milliseconds; four fifths of the longest deadline if that is shorter.
 const MIN_DEADLINE_MS: u64 = 900;
 /// The chunk at the end of a complete stream.
@@ -54,6 +59,8 @@
     disconnect_after: Option<Duration>,
     head: String,
     body: String,
+    /// How long the client takes to write the request; zero if it writes all at once.
+    write_time: Duration,
     read_behavior: ReadBehavior,
 }
 
@@ -105,10 +112,19 @@
             disconnect_after,
             head,
             body,
+            write_time: Duration::ZERO,
             read_behavior: ReadBehavior::AtOnce,
         }
     }
 
+    /// Spreads the request over a drawn time, and asks for a drawn stream. If its dispatcher is told to end meanwhile, the
+    /// request ends arriving late in the shutdown, and its stream would outlast the process.
+    pub fn with_slow_write(mut self, rng: &mut Pcg32) -> ClientRequest {
+        self.write_time = Duration::from_millis(rng.gen_range(300..=MAX_WRITE_TIME_MS));
+        self.body = StreamPlan::draw(rng).request_body();
+        self
+    }
+
     /// Asks for a drawn stream, which may still be open while its dispatcher is upgraded. Also draws how the client reads
     /// the stream.
     pub fn with_long_stream(mut self, rng: &mut Pcg32) -> ClientRequest {
@@ -185,6 +201,22 @@
     ClosedBeforeRequest,
 }
 
+/// Writes a request; fails if the dispatcher closes the connection before the last byte.
+async fn write_request(request: &ClientRequest, stream: &mut TcpStream) -> io::Result<()> {
+    let text = request.text();
+    if request.write_time.is_zero() {
+        return stream.write_all(text.as_bytes()).await;
+    }
+    for piece in text.as_bytes().chunks(text.len().div_ceil(SLOW_WRITES)) {
+        sleep(request.write_time / SLOW_WRITES as u32).await;
+        if crate::wire::is_closed_by_peer(stream) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        stream.write_all(piece).await?;
+    }
+    Ok(())
+}
+
 /// Sends a request on an open connection and records all that its client observes until the end of the response.
 async fn exchange(
     target: &Target,
@@ -193,7 +225,7 @@
 ) -> ConnectionState {
     let started = Instant::now();
     let is_closed = crate::wire::is_closed_by_peer(stream);
-    if is_closed || stream.write_all(request.text().as_bytes()).await.is_err() {
+    if is_closed || write_request(request, stream).await.is_err() {
         return ConnectionState::ClosedBeforeRequest;
     }
     let oracle = &target.oracle;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -128,9 +128,10 @@
 struct OracleState {
     requests: HashMap<String, RequestHistory>,
     violations: Vec<Violation>,
-    killed_at: HashMap<usize, Instant>,  // last kill, by process
-    flooded: HashSet<usize>,             // processes in a flood of idle connections
-    paused: HashSet<usize>,              // processes that are stopped
+    killed_at: HashMap<usize, Instant>, // last kill, by process
+    terminated_at: HashMap<usize, Instant>, // SIGTERM, by process that is shutting down
+    flooded: HashSet<usize>,            // processes in a flood of idle connections
+    paused: HashSet<usize>,             // processes that are stopped
     resumed_at: HashMap<usize, Instant>, // last resume from a pause, by process
     max_event_delay: Duration,
     counts: ResponseCounts,
@@ -260,7 +261,8 @@
     pub fn on_closed_without_response(&self, id: &str, is_excused: bool) {
         self.update_request(id, |request| {
             request.is_response_settled = true;
-            let is_excused = is_excused || request.is_affected_by_flood;
+            let is_excused =
+                (is_excused && !request.is_late_in_shutdown) || request.is_affected_by_flood;
             request.add_observation(format!("closed without response, excused: {is_excused}"));
             (!is_excused).then_some(Invariant::NotClosedUnanswered)
         });
--- a/crates/soak/src/oracle/processes.rs
+++ b/crates/soak/src/oracle/processes.rs
@@ -1,8 +1,11 @@
 //! Faults of dispatcher processes (kills, pauses, floods of idle connections), and what they excuse in the checks.
 
-use super::{Invariant, Oracle, Violation};
+use super::{Invariant, Oracle, Violation, BENCH_SLACK};
 use std::time::{Duration, Instant};
 
+/// A request that is sent later than this after SIGTERM must have its whole response before the kill.
+const LATE_REQUEST_TIME: Duration = Duration::from_millis(700);
+
 impl Oracle {
     /// Records that a flood of idle connections to a process begins (`is_active`) or is over. It excuses the requests that
     /// are waiting for a response at its start, and those that are sent before its end.
@@ -26,17 +29,33 @@
         }
     }
 
-    /// Records that a process was killed. No response is expected any more for the requests that were sent to the
-    /// process, and no release of their KV caches.
+    /// Records that a process without a successor is told to end at `terminated_at`.
+    pub fn on_process_terminated(&self, process: usize, terminated_at: Instant) {
+        self.state().terminated_at.insert(process, terminated_at);
+    }
+
+    /// Records that a terminated process has exited by itself.
+    pub fn on_process_exited(&self, process: usize) {
+        self.state().terminated_at.remove(&process);
+    }
+
+    /// Records that a process was killed. No release of KV caches is expected any more, and no response either, except for
+    /// requests that were sent late in the shutdown of a terminated process.
     pub fn on_process_killed(&self, process: usize) {
         let mut state = self.state();
         state.killed_at.insert(process, Instant::now());
+        let terminated_at = state.terminated_at.remove(&process);
+        let late_from = terminated_at.map(|instant| instant + LATE_REQUEST_TIME + BENCH_SLACK);
         for request in state.requests_of(process) {
             request.add_observation("dispatcher process was killed".into());
-            request.was_process_killed = true;
             request.is_kv_reserved = false;
-            request.is_response_settled = true;
             request.update_kv_idle_clock();
+            request.is_late_in_shutdown |=
+                late_from.is_some_and(|late_from| request.sent_at >= Some(late_from));
+            if !request.is_late_in_shutdown {
+                request.was_process_killed = true;
+                request.is_response_settled = true;
+            }
         }
     }
 
--- a/crates/soak/src/request_history.rs
+++ b/crates/soak/src/request_history.rs
@@ -44,6 +44,8 @@
     pub(crate) may_have_waited_in_accept_queue: bool,
     /// Whether the request was known when a fault killed its dispatcher process.
     pub(crate) was_process_killed: bool,
+    /// Whether the request was sent so late in the shutdown of its process that the kill does not excuse it.
+    pub(crate) is_late_in_shutdown: bool,
     /// Whether a flood of idle connections was active when the request was sent or while its response was outstanding.
     /// A flood uses up the dispatcher's descriptors.
     pub(crate) is_affected_by_flood: bool,
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -5,20 +5,16 @@
 
 use super::process::DispatcherProcess;
 use super::SoakRun;
-use crate::config::MAX_DEADLINE;
 use crate::schedule::{Fault, ScheduledFault};
 use quartzhall::routing::api::EndpointStatus;
 use rustix::process::{kill_process, Pid, Signal};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at};
 
 /// How long clients still open connections after SIGTERM, before requests to the process stop.
 const CONNECT_TIME_AFTER_TERM: Duration = Duration::from_millis(300);
-/// Time that a terminated process has to exit before it is killed: the longest deadline and a margin. It counts from the
-/// second SIGTERM, [`CONNECT_TIME_AFTER_TERM`] after the first.
-const KILL_AFTER_TERM: Duration = Duration::from_millis(MAX_DEADLINE.as_millis() as u64 + 1_500);
 
 /// Sends a signal to a process. Errors are ignored: a process that exited by itself is reported at the end of the run.
 fn signal(process_id: Option<u32>, signal: Signal) {
@@ -143,6 +139,9 @@
         if !process.accepts_requests() || process.is_paused() {
             return;
         }
+        let kill_at = tokio::time::Instant::now() + self.kill_after_termination();
+        self.oracle
+            .on_process_terminated(process.number, Instant::now());
         signal(process.id(), Signal::TERM);
         sleep(CONNECT_TIME_AFTER_TERM).await;
         if !process.claim_for_exit() {
@@ -150,8 +149,8 @@
         }
         if let Some(dispatcher) = process.take_dispatcher() {
             // Sends SIGTERM a second time. On a timeout the future is dropped, which kills the process.
-            match timeout(KILL_AFTER_TERM, dispatcher.terminate()).await {
-                Ok(Ok(())) => {}
+            match timeout_at(kill_at, dispatcher.terminate()).await {
+                Ok(Ok(())) => self.oracle.on_process_exited(process.number),
                 Ok(Err(error)) => self
                     .oracle
                     .on_process_failed(process.number, error.to_string()),
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -58,6 +58,10 @@
     pub max_event_delay: Duration,
 }
 
+/// Upper bound on the deadline from which the time between SIGTERM and SIGKILL is computed.
+const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
+/// Added to the deadline for the time between SIGTERM and SIGKILL.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Time between two checks for overdue responses and releases.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Wait after the end of load and faults. In this time, all outstanding responses have to arrive and all KV caches to be
@@ -73,6 +77,8 @@
 const PERSISTENT_CLIENT_NUMBER_SHIFT: u32 = 32;
 /// Fraction of requests to upgraded processes that ask for a long stream, which may still be open during an upgrade.
 const LONG_STREAM_FRACTION: f64 = 0.3;
+/// Fraction of the other requests whose clients write them slowly.
+const SLOW_WRITE_FRACTION: f64 = 0.15;
 
 /// Port on which a dispatcher listens for clients. All ports are on a loopback address of the dispatcher's own.
 const LISTEN_PORT: u16 = 7_000;
@@ -215,6 +221,8 @@
                 ClientRequest::draw(process.number, number, self.plan.max_deadline, &mut rng);
             if self.plan.size.is_upgraded(process.number) && rng.gen_bool(LONG_STREAM_FRACTION) {
                 request = request.with_long_stream(&mut rng);
+            } else if rng.gen_bool(SLOW_WRITE_FRACTION) {
+                request = request.with_slow_write(&mut rng);
             }
             if process.accepts_requests() {
                 in_flight.spawn(client::send_request(target.clone(), request));
@@ -224,6 +232,11 @@
         while in_flight.join_next().await.is_some() {}
     }
 
+    /// Returns the shortest time from SIGTERM to SIGKILL that the protocol allows.
+    fn kill_after_termination(&self) -> Duration {
+        self.plan.max_deadline.min(MAX_KILL_DEADLINE) + KILL_MARGIN
+    }
+
     fn client_target(&self, process: &DispatcherProcess) -> Arc<Target> {
         Arc::new(Target {
             process: process.number,
--- a/crates/soak/src/run/upgrades.rs
+++ b/crates/soak/src/run/upgrades.rs
@@ -15,10 +15,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
-/// Upper bound on the deadline from which the time between SIGTERM and SIGKILL is computed.
-const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
-/// Added to the deadline for the time between SIGTERM and SIGKILL.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// The shortest time between two upgrades, in seconds. The times are drawn from a log-uniform distribution.
 const MIN_UPGRADE_INTERVAL_S: f64 = 0.1;
 /// The longest time between two upgrades, in seconds.
@@ -96,9 +92,8 @@
             let _ = dispatcher.signal("HUP").await;
             let _ = dispatcher.signal("TERM").await;
         }
-        let kill_after = self.plan.max_deadline.min(MAX_KILL_DEADLINE) + KILL_MARGIN;
         // On a timeout the future is dropped with the dispatcher in it, which kills the process.
-        match timeout(kill_after, dispatcher.wait_for_exit()).await {
+        match timeout(self.kill_after_termination(), dispatcher.wait_for_exit()).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 self.oracle
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -5,7 +5,7 @@
 use quartzhall_soak::schedule::{draw_schedule, RunSize};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -144,3 +144,33 @@
     assert_eq!(schedule(7), schedule(7));
     assert_ne!(schedule(7), schedule(8));
 }
+
+/// The kill of a terminated process excuses what was sent before the process had to refuse it, and nothing later.
+#[test]
+fn kill_after_termination_excuses_no_request_that_was_sent_late() {
+    let oracle = Oracle::new();
+    let now = Instant::now();
+    oracle.on_process_terminated(0, now);
+    oracle.on_process_terminated(1, now - Duration::from_millis(800));
+    oracle.on_request_sent("early", 0, true, DEADLINE);
+    for id in ["cut", "unanswered", "refused"] {
+        oracle.on_request_sent(id, 1, true, DEADLINE);
+    }
+    oracle.on_response("early", 200);
+    oracle.on_response("cut", 200);
+    oracle.on_response("refused", 503);
+    oracle.on_process_killed(0);
+    oracle.on_process_killed(1);
+    oracle.on_stream_ended("early", false);
+    oracle.on_stream_ended("cut", false);
+    oracle.on_closed_without_response("unanswered", true);
+    assert_eq!(
+        violated_invariants(&oracle),
+        [Invariant::StreamComplete, Invariant::NotClosedUnanswered]
+    );
+    // The next process under the same number is killed without a signal to end.
+    oracle.on_request_sent("next", 1, true, DEADLINE);
+    oracle.on_process_killed(1);
+    oracle.on_closed_without_response("next", true);
+    assert_eq!(oracle.violations().len(), 2);
+}
