A session whose request has just ended is not the first to be closed at the limit

What callers would see: at most_sessions the session of a long answer could be closed with 1013 right after its last message, for its client's last message was the oldest. docs/websocket.md says "without a request for longest, and for 2 s at least". Cause: idle time counted from the client's last message alone (found by looking for further places where a session's requests don't count). Change: it counts from the end of a request, too. Test: at_the_limit_a_session_whose_request_has_just_ended_is_not_closed, failed before (run). Beside it: the test of a late request at a real process waits for the log line, which is written by a thread of its own.

--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -37,8 +37,8 @@
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-/// At the session limit, an idle session may be evicted for a new one. A session is idle if it has no request in flight
-/// and its client has sent no text message for this long.
+/// At the session limit, an idle session may be evicted for a new one. A session is idle if for this long it has had no
+/// request in flight and its client has sent no text message.
 const SESSION_EVICTION_IDLE_TIME: Duration = Duration::from_millis(2000);
 /// How long a new session waits for the evicted one to close.
 const SESSION_EVICTION_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/src/frontend/websocket/session_activity.rs
+++ b/src/frontend/websocket/session_activity.rs
@@ -14,8 +14,8 @@
 
 /// The shared part of a session's state.
 pub(super) struct SessionActivity {
-    /// When the client sent its last text message; at first, when it connected.
-    last_message_at: Mutex<Instant>,
+    /// When the client last sent a text message or a request of the session last ended; at first, when it connected.
+    last_active_at: Mutex<Instant>,
     /// Number of requests that the session owes a final message.
     open_requests: watch::Sender<usize>,
     /// Limit of open requests for new ones. Requests that move here may exceed it.
@@ -26,26 +26,26 @@
 impl SessionActivity {
     pub(super) fn new(max_requests: usize) -> Arc<SessionActivity> {
         Arc::new(SessionActivity {
-            last_message_at: Mutex::new(Instant::now()),
+            last_active_at: Mutex::new(Instant::now()),
             open_requests: watch::Sender::new(0),
             max_requests,
             close_requested: Notify::new(),
         })
     }
 
-    fn last_message_at(&self) -> MutexGuard<'_, Instant> {
-        self.last_message_at
+    fn last_active_at(&self) -> MutexGuard<'_, Instant> {
+        self.last_active_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that the client has sent a text message.
     pub(super) fn on_message(&self, received_at: Instant) {
-        *self.last_message_at() = received_at;
+        *self.last_active_at() = received_at;
     }
 
     pub(super) fn idle_since(&self) -> Instant {
-        *self.last_message_at()
+        *self.last_active_at()
     }
 
     pub(super) fn idle_time(&self) -> Duration {
@@ -96,6 +96,7 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
+        *self.0.last_active_at() = Instant::now();
         self.0.open_requests.send_modify(|open| *open -= 1);
     }
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -51,9 +51,7 @@
         "{response}"
     );
     assert_eq!(setup.attempt_count(), attempts, "the request never ran");
-    assert!(process
-        .log()
-        .contains("request rejected, open_requests: 0, reason: ShuttingDown"));
+    process.wait_for_log("reason: ShuttingDown").await;
     assert_eq!(process.exit_code().await, Some(0));
 }
 
--- a/tests/websocket_sessions.rs
+++ b/tests/websocket_sessions.rs
@@ -507,3 +507,29 @@
     }
     assert_eq!(fleet.attempts_at(2), 1);
 }
+
+/// At the limit a session whose request has just ended stays open, although its client's last message is the oldest: others
+/// have been without a request for longer. It used to be closed right after a long answer.
+#[tokio::test]
+async fn at_the_limit_a_session_whose_request_has_just_ended_is_not_closed() {
+    let fleet = Fleet::start(false).await;
+    fleet.set_behavior(2, Behavior::Pause);
+    let mut served = SessionClient::connect(&fleet).await;
+    served.send_request("long", "return-request", 60_000).await;
+    assert_eq!(served.receive().await.0, "event");
+    let mut idle = Vec::new();
+    for _ in 0..3 {
+        idle.push(SessionClient::connect(&fleet).await);
+    }
+    tokio::time::pause();
+    tokio::time::advance(Duration::from_secs(2)).await;
+    tokio::time::resume();
+    fleet.resume.notify_one();
+    assert_eq!(served.receive_response("long").await.0, "served");
+    fleet.dispatcher.wait_until_idle().await;
+    let (_new, closed) = tokio::join!(SessionClient::connect(&fleet), idle[0].receive());
+    assert_eq!(closed, ("close".into(), "1013".into()));
+    fleet.set_behavior(2, Behavior::Serve);
+    served.send_request("next", "status-query", 2000).await;
+    assert_eq!(served.receive_response("next").await.0, "served");
+}
