--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -238,6 +238,13 @@
     waiting: HashMap<String, usize>,
     /// Each request whose last byte has arrived.
     pub attempts: Vec<Attempt>,
+    /// When each prompt's request took effect at a writer. A writer discards a repeat within `key_ttl` of the effect
+    /// before it: such a repeat is answered and has no effect.
+    pub effects: HashMap<String, Vec<Instant>>,
+    /// The time for which repeats are discarded; `None`: they are not.
+    pub key_ttl: Option<Duration>,
+    /// Writers' connections break after the request has run and before anything is answered.
+    pub breaks: bool,
     /// Ids of streams that a writer has written to the last chunk.
     pub finished: Vec<String>,
     /// Ids of streams that broke off because the dispatcher closed the connection.
@@ -389,7 +396,9 @@
             self.record.line(&format!("{}: 410 for {id}: no state", self.id));
             return write_answer(writer, "410 Gone", "X-Never-Ran: 1\r\n", "");
         };
-        self.fleet.lock().unwrap().attempts[number].ran = true;
+        if self.run(id, &prompt, number) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         self.record.line(&format!("{}: answer of {id} begins, to the state of prompt {prompt:?}", self.id));
         let written = self.write_events(writer, &prompt, plan);
         let mut fleet = self.fleet.lock().unwrap();
@@ -404,6 +413,29 @@
         written
     }
 
+    /// Runs a request, and returns whether its connection breaks then.
+    fn run(&self, id: &str, prompt: &str, number: usize) -> bool {
+        let mut fleet = self.fleet.lock().unwrap();
+        fleet.attempts[number].ran = true;
+        let (key_ttl, breaks) = (fleet.key_ttl, fleet.breaks);
+        let effects = fleet.effects.entry(prompt.to_owned()).or_default();
+        let is_repeat = effects.last().is_some_and(|last| key_ttl.is_some_and(|ttl| last.elapsed() < ttl));
+        if !is_repeat {
+            effects.push(Instant::now());
+        }
+        let count = effects.len();
+        drop(fleet);
+        if is_repeat {
+            self.record.line(&format!("{}: {id} runs, {prompt:?}: a repeat, discarded", self.id));
+        } else {
+            self.record.line(&format!("{}: {id} runs, {prompt:?} takes effect, number {count}", self.id));
+        }
+        if breaks {
+            self.record.line(&format!("{}: the connection of {id} breaks", self.id));
+        }
+        breaks
+    }
+
     fn write_events(&self, writer: &mut TcpStream, prompt: &str, plan: Plan) -> io::Result<()> {
         writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         for index in 0..plan.events {
