--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -25,7 +25,7 @@
     let fleet = Arc::new(Mutex::new(Fleet::default()));
     // The writers are busy: a request waits 1.5 s there for its slot, and its state is fetched then.
     let slot_after = Duration::from_millis(1500);
-    let plan = Arc::new(Mutex::new(Plan { events: EVENTS, pace: Duration::from_millis(10), slot_after }));
+    let plan = Arc::new(Mutex::new(Plan { events: EVENTS, pace: Duration::from_millis(10), slot_after, first_after: Duration::ZERO }));
     let kinds = [("r1", "prefill"), ("r2", "prefill"), ("w1", "decode"), ("w2", "decode")];
     let replicas: Vec<Replica> =
         kinds.iter().map(|(id, flavor)| Replica::start(id, flavor, &fleet, &plan, record)).collect();
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -227,6 +227,8 @@
     pub events: usize,
     pub pace: Duration,
     pub slot_after: Duration,
+    /// The time from the start of the run to the first token.
+    pub first_after: Duration,
 }
 
 /// What all replicas hold and have run.
@@ -400,6 +402,7 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         self.record.line(&format!("{}: answer of {id} begins, to the state of prompt {prompt:?}", self.id));
+        thread::sleep(plan.first_after);
         let written = self.write_events(writer, &prompt, plan);
         let mut fleet = self.fleet.lock().unwrap();
         if written.is_ok() {
