--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -6,7 +6,6 @@
 use common::*;
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
@@ -14,10 +13,7 @@
 const EVENTS: usize = 20;
 
 fn main() {
-    let record = Record::create(Path::new("review/6/record.txt"));
-    let is_broken = play(&record);
-    record.line(if is_broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
-    std::process::exit(i32::from(is_broken));
+    run_case(6, play)
 }
 
 fn play(record: &Record) -> bool {
@@ -25,10 +21,17 @@
     let fleet = Arc::new(Mutex::new(Fleet::default()));
     // The writers are busy: a request waits 1.5 s there for its slot, and its state is fetched then.
     let slot_after = Duration::from_millis(1500);
-    let plan = Arc::new(Mutex::new(Plan { events: EVENTS, pace: Duration::from_millis(10), slot_after, first_after: Duration::ZERO }));
+    let plan = Arc::new(Mutex::new(Plan {
+        events: EVENTS,
+        pace: Duration::from_millis(10),
+        slot_after,
+        first_after: Duration::ZERO,
+    }));
     let kinds = [("r1", "prefill"), ("r2", "prefill"), ("w1", "decode"), ("w2", "decode")];
-    let replicas: Vec<Replica> =
-        kinds.iter().map(|(id, flavor)| Replica::start(id, flavor, &fleet, &plan, record)).collect();
+    let replicas: Vec<Replica> = kinds
+        .iter()
+        .map(|(id, flavor)| Replica::start(id, flavor, &fleet, &plan, record))
+        .collect();
     let discovery = Discovery::start(replicas.iter().map(|replica| replica.member("Ready")).collect(), record);
 
     // The platform holds the clients' socket; both processes have the same configuration and the same TMPDIR.
@@ -37,8 +40,10 @@
     let sessions = free_address();
     let session_path = folder.0.join("websocket.json");
     std::fs::write(&session_path, session_file(&sessions)).unwrap();
-    let classes =
-        [class_json("status-query", 7500, "free", 3.0), class_json("return-request", 10000, "single_shot", 2.0)];
+    let classes = [
+        class_json("status-query", 7500, "free", 3.0),
+        class_json("return-request", 10000, "single_shot", 2.0),
+    ];
     let config = folder.0.join("config.json");
     let known = discovery.full_list();
     let text = config_json(&listen, &discovery.address, "", &known, &settings_json(&classes));
@@ -48,7 +53,15 @@
     let command = run_command(Some(&session_path));
     let start = |management: &str, log: &str| {
         let variables = [("GW_MANAGEMENT", management)];
-        Dispatcher::start(&command, &config, &shared, &folder.0.join(log), &variables, Some(&socket), record)
+        Dispatcher::start(
+            &command,
+            &config,
+            &shared,
+            &folder.0.join(log),
+            &variables,
+            Some(&socket),
+            record,
+        )
     };
 
     let first_management = free_address();
@@ -82,21 +95,34 @@
     let mut is_broken = false;
     let mut prompts: HashMap<String, String> = HashMap::new();
     for attempt in &fleet.lock().unwrap().attempts {
-        let first = prompts.entry(attempt.id.clone()).or_insert_with(|| attempt.prompt.clone());
+        let first = prompts
+            .entry(attempt.id.clone())
+            .or_insert_with(|| attempt.prompt.clone());
         if *first != attempt.prompt {
-            record.line(&format!("BROKEN: id {} came with {first:?} and with {:?}", attempt.id, attempt.prompt));
+            record.line(&format!(
+                "BROKEN: id {} came with {first:?} and with {:?}",
+                attempt.id, attempt.prompt
+            ));
             is_broken = true;
             break;
         }
     }
-    for (terminal, id, own) in [(&terminal_a, "a-0001", "transfer-of-A"), (&terminal_b, "b-0001", "transfer-of-B")] {
+    for (terminal, id, own) in [
+        (&terminal_a, "a-0001", "transfer-of-A"),
+        (&terminal_b, "b-0001", "transfer-of-B"),
+    ] {
         let finals = terminal.finals(id);
         let answer = terminal.answer(id);
         let is_served = finals.iter().any(|message| message.kind == "served");
         let is_own = answer == whole_answer(own, EVENTS);
-        record.line(&format!("{id}: final messages {finals:?}, the answer is the one to its own prompt: {is_own}"));
+        record.line(&format!(
+            "{id}: final messages {finals:?}, the answer is the one to its own prompt: {is_own}"
+        ));
         if is_served && !is_own {
-            record.line(&format!("BROKEN: {id} was served with another answer: {:?}", answer.lines().next()));
+            record.line(&format!(
+                "BROKEN: {id} was served with another answer: {:?}",
+                answer.lines().next()
+            ));
             is_broken = true;
         }
     }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -5,26 +5,29 @@
 
 use common::*;
 use std::net::TcpListener;
-use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
 fn main() {
-    let record = Record::create(Path::new("review/7/record.txt"));
-    let is_broken = play(&record);
-    record.line(if is_broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
-    std::process::exit(i32::from(is_broken));
+    run_case(7, play)
 }
 
 fn play(record: &Record) -> bool {
     let folder = Folder::create();
     let fleet = Arc::new(Mutex::new(Fleet::default()));
     let (pace, slot_after) = (Duration::from_millis(50), Duration::from_millis(20));
-    let plan = Arc::new(Mutex::new(Plan { events: 40, pace, slot_after, first_after: Duration::ZERO }));
+    let plan = Arc::new(Mutex::new(Plan {
+        events: 40,
+        pace,
+        slot_after,
+        first_after: Duration::ZERO,
+    }));
     let kinds = [("r1", "prefill"), ("r2", "prefill"), ("w1", "decode"), ("w2", "decode")];
-    let replicas: Vec<Replica> =
-        kinds.iter().map(|(id, flavor)| Replica::start(id, flavor, &fleet, &plan, record)).collect();
+    let replicas: Vec<Replica> = kinds
+        .iter()
+        .map(|(id, flavor)| Replica::start(id, flavor, &fleet, &plan, record))
+        .collect();
     let discovery = Discovery::start(replicas.iter().map(|replica| replica.member("Ready")).collect(), record);
 
     // The platform holds the clients' socket; both processes have the same TMPDIR. The new one's configuration differs in
@@ -34,8 +37,10 @@
     let sessions = free_address();
     let session_path = folder.0.join("websocket.json");
     std::fs::write(&session_path, session_file(&sessions)).unwrap();
-    let classes =
-        [class_json("status-query", 7500, "free", 3.0), class_json("return-request", 10000, "single_shot", 2.0)];
+    let classes = [
+        class_json("status-query", 7500, "free", 3.0),
+        class_json("return-request", 10000, "single_shot", 2.0),
+    ];
     let known = discovery.full_list();
     let text = config_json(&listen, &discovery.address, "", &known, &settings_json(&classes));
     let shared = folder.0.join("shared");
@@ -45,7 +50,15 @@
         let config = folder.0.join(format!("config-{name}.json"));
         std::fs::write(&config, text.replace("8c1f30d27a5be964", seed)).unwrap();
         let variables = [("GW_MANAGEMENT", management)];
-        Dispatcher::start(&command, &config, &shared, &folder.0.join(name), &variables, Some(&socket), record)
+        Dispatcher::start(
+            &command,
+            &config,
+            &shared,
+            &folder.0.join(name),
+            &variables,
+            Some(&socket),
+            record,
+        )
     };
 
     let first = start(&free_address(), "first", "8c1f30d27a5be964");
@@ -77,9 +90,15 @@
     wait_for(Duration::from_secs(8), || !again.finals("t7-0001").is_empty());
     sleep(Duration::from_millis(500));
 
-    let finals: Vec<String> = again.finals("t7-0001").into_iter().map(|message| message.text).collect();
+    let finals: Vec<String> = again
+        .finals("t7-0001")
+        .into_iter()
+        .map(|message| message.text)
+        .collect();
     let effects = fleet.lock().unwrap().effects.get("transfer-1").map_or(0, Vec::len);
-    record.line(&format!("t7-0001 in session 2: final messages {finals:?}; it took effect {effects} times"));
+    record.line(&format!(
+        "t7-0001 in session 2: final messages {finals:?}; it took effect {effects} times"
+    ));
     drop((first, second));
     effects > 1
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -9,6 +9,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,7 +27,10 @@
 impl Record {
     pub fn create(path: &Path) -> Record {
         let file = File::create(path).unwrap_or_else(|error| could_not_run(&format!("{path:?}: {error}")));
-        Record { started: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Record {
+            started: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -37,10 +41,29 @@
     }
 }
 
-/// Ends the case with exit code 2: it could not run.
+/// Ends the case with exit code 2: it could not run. What was started ends on the way out.
 pub fn could_not_run(why: &str) -> ! {
-    eprintln!("the case could not run: {why}");
-    std::process::exit(2);
+    panic!("the case could not run: {why}");
+}
+
+/// Plays case `number`, writes its record, and ends with 1 if `play` says that the rule was broken, 0 if it held, and 2 if
+/// the case could not run.
+pub fn run_case(number: u32, play: impl Fn(&Record) -> bool) -> ! {
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(100));
+        eprintln!("the case takes too long");
+        // The dispatchers end with this process.
+        std::process::exit(2);
+    });
+    let record = Record::create(Path::new(&format!("review/{number}/record.txt")));
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(&record)));
+    let (code, result) = match played {
+        Ok(false) => (0, "the rule held"),
+        Ok(true) => (1, "the rule was broken"),
+        Err(_) => (2, "the case could not run"),
+    };
+    record.line(&format!("RESULT: {result}"));
+    std::process::exit(code)
 }
 
 /// Whether the disruption is played: not with `TROUBLE=0`.
@@ -94,10 +117,17 @@
             fields.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
         }
     }
-    let length = fields.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let length = fields
+        .get("content-length")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok(Some(Head { first_line: first_line.trim_end().to_owned(), fields, body }))
+    Ok(Some(Head {
+        first_line: first_line.trim_end().to_owned(),
+        fields,
+        body,
+    }))
 }
 
 fn write_answer(stream: &mut TcpStream, status: &str, fields: &str, body: &str) -> io::Result<()> {
@@ -143,7 +173,10 @@
 
 fn list_json(revision: u64, complete: bool, members: &[Member]) -> String {
     let members: Vec<String> = members.iter().map(Member::json).collect();
-    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
+    format!(
+        r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#,
+        members.join(",")
+    )
 }
 
 impl Discovery {
@@ -152,7 +185,11 @@
         let discovery = Discovery {
             address: listener.local_addr().unwrap().to_string(),
             state: Arc::new((
-                Mutex::new(ListState { revision: 1, members, changes: Vec::new() }),
+                Mutex::new(ListState {
+                    revision: 1,
+                    members,
+                    changes: Vec::new(),
+                }),
                 Condvar::new(),
             )),
             record: record.clone(),
@@ -181,7 +218,10 @@
         if member.phase != "Gone" {
             state.members.push(member.clone());
         }
-        self.record.line(&format!("discovery: {} is {} (revision {revision})", member.id, member.phase));
+        self.record.line(&format!(
+            "discovery: {} is {} (revision {revision})",
+            member.id, member.phase
+        ));
         state.changes.push((revision, member));
         self.state.1.notify_all();
     }
@@ -194,15 +234,20 @@
             let target = head.first_line.split(' ').nth(1).unwrap_or("").to_owned();
             let number = |name: &str| -> Option<u64> {
                 let query = target.split_once('?')?.1;
-                query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
             };
             let body = match number("from") {
                 None => self.full_list(),
                 Some(from) => {
                     let hold = Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000));
                     let state = self.state.0.lock().unwrap();
-                    let (state, _) =
-                        self.state.1.wait_timeout_while(state, hold, |state| state.revision <= from).unwrap();
+                    let (state, _) = self
+                        .state
+                        .1
+                        .wait_timeout_while(state, hold, |state| state.revision <= from)
+                        .unwrap();
                     let changed: Vec<Member> = state
                         .changes
                         .iter()
@@ -324,7 +369,13 @@
     }
 
     pub fn member(&self, phase: &'static str) -> Member {
-        Member { id: self.id.clone(), address: self.address.clone(), flavor: self.flavor, phase, up_since_ms: 0 }
+        Member {
+            id: self.id.clone(),
+            address: self.address.clone(),
+            flavor: self.flavor,
+            phase,
+            up_since_ms: 0,
+        }
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -342,7 +393,11 @@
                         fleet.states.remove(id);
                     }
                     drop(fleet);
-                    let what = if is_waited_for { "kept for the request that waits" } else { "let go" };
+                    let what = if is_waited_for {
+                        "kept for the request that waits"
+                    } else {
+                        "let go"
+                    };
                     self.record.line(&format!("{}: release of {id}: 204, {what}", self.id));
                     writer.write_all(b"HTTP/1.1 204 No Content\r\n\r\n")?;
                 } else {
@@ -363,7 +418,12 @@
             let number = {
                 let mut fleet = self.fleet.lock().unwrap();
                 let (replica, id, prompt) = (self.id.clone(), id.clone(), prompt.clone());
-                fleet.attempts.push(Attempt { replica, id, prompt, ran: false });
+                fleet.attempts.push(Attempt {
+                    replica,
+                    id,
+                    prompt,
+                    ran: false,
+                });
                 fleet.attempts.len() - 1
             };
             if self.flavor == "prefill" {
@@ -376,17 +436,24 @@
     }
 
     fn read_prompt(&self, writer: &mut TcpStream, id: &str, prompt: String) -> io::Result<()> {
-        self.record.line(&format!("{}: read of {id} begins, prompt {prompt:?}", self.id));
+        self.record
+            .line(&format!("{}: read of {id} begins, prompt {prompt:?}", self.id));
         thread::sleep(Duration::from_millis(20));
         self.fleet.lock().unwrap().states.insert(id.to_owned(), prompt);
         self.record.line(&format!("{}: 202 for {id}", self.id));
-        write_answer(writer, "202 Accepted", "Content-Type: application/json\r\n", r#"{"cached_tokens":0}"#)
+        write_answer(
+            writer,
+            "202 Accepted",
+            "Content-Type: application/json\r\n",
+            r#"{"cached_tokens":0}"#,
+        )
     }
 
     /// Waits for a slot, fetches the state from its reader, and streams the answer to the prompt of that state.
     fn answer(&self, writer: &mut TcpStream, id: &str, prompt: &str, number: usize) -> io::Result<()> {
         let plan = *self.plan.lock().unwrap();
-        self.record.line(&format!("{}: {id} waits for a slot, prompt {prompt:?}", self.id));
+        self.record
+            .line(&format!("{}: {id} waits for a slot, prompt {prompt:?}", self.id));
         let has_state = self.fleet.lock().unwrap().states.contains_key(id);
         if has_state {
             *self.fleet.lock().unwrap().waiting.entry(id.to_owned()).or_default() += 1;
@@ -401,7 +468,10 @@
         if self.run(id, &prompt, number) {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        self.record.line(&format!("{}: answer of {id} begins, to the state of prompt {prompt:?}", self.id));
+        self.record.line(&format!(
+            "{}: answer of {id} begins, to the state of prompt {prompt:?}",
+            self.id
+        ));
         thread::sleep(plan.first_after);
         let written = self.write_events(writer, &prompt, plan);
         let mut fleet = self.fleet.lock().unwrap();
@@ -409,7 +479,8 @@
             self.record.line(&format!("{}: answer of {id} written whole", self.id));
             fleet.finished.push(id.to_owned());
         } else {
-            self.record.line(&format!("{}: answer of {id} cut by the dispatcher", self.id));
+            self.record
+                .line(&format!("{}: answer of {id} cut by the dispatcher", self.id));
             fleet.cut.push(id.to_owned());
         }
         drop(fleet);
@@ -422,16 +493,22 @@
         fleet.attempts[number].ran = true;
         let (key_ttl, breaks) = (fleet.key_ttl, fleet.breaks);
         let effects = fleet.effects.entry(prompt.to_owned()).or_default();
-        let is_repeat = effects.last().is_some_and(|last| key_ttl.is_some_and(|ttl| last.elapsed() < ttl));
+        let is_repeat = effects
+            .last()
+            .is_some_and(|last| key_ttl.is_some_and(|ttl| last.elapsed() < ttl));
         if !is_repeat {
             effects.push(Instant::now());
         }
         let count = effects.len();
         drop(fleet);
         if is_repeat {
-            self.record.line(&format!("{}: {id} runs, {prompt:?}: a repeat, discarded", self.id));
+            self.record
+                .line(&format!("{}: {id} runs, {prompt:?}: a repeat, discarded", self.id));
         } else {
-            self.record.line(&format!("{}: {id} runs, {prompt:?} takes effect, number {count}", self.id));
+            self.record.line(&format!(
+                "{}: {id} runs, {prompt:?} takes effect, number {count}",
+                self.id
+            ));
         }
         if breaks {
             self.record.line(&format!("{}: the connection of {id} breaks", self.id));
@@ -440,7 +517,8 @@
     }
 
     fn write_events(&self, writer: &mut TcpStream, prompt: &str, plan: Plan) -> io::Result<()> {
-        writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        writer
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         for index in 0..plan.events {
             write_chunk(writer, &event(prompt, index))?;
             thread::sleep(plan.pace);
@@ -508,7 +586,8 @@
 
 /// The session file of the deployment with sessions on: only `listen` differs.
 pub fn session_file(listen: &str) -> String {
-    let text = std::fs::read_to_string("deploy/websocket.json").unwrap_or_else(|error| could_not_run(&error.to_string()));
+    let text =
+        std::fs::read_to_string("deploy/websocket.json").unwrap_or_else(|error| could_not_run(&error.to_string()));
     let with_listen = text.replacen("\"listen\": null", &format!("\"listen\": \"{listen}\""), 1);
     if with_listen == text {
         could_not_run("deploy/websocket.json has no \"listen\": null");
@@ -518,8 +597,12 @@
 
 /// The `run` command of the deploy file, with another session file if one is given.
 pub fn run_command(session_file: Option<&Path>) -> String {
-    let text = std::fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|error| could_not_run(&error.to_string()));
-    let line = text.lines().find(|line| line.starts_with("run = ")).unwrap_or_else(|| could_not_run("no run command"));
+    let text =
+        std::fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|error| could_not_run(&error.to_string()));
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("run = "))
+        .unwrap_or_else(|| could_not_run("no run command"));
     let command = line.split('"').nth(1).unwrap_or_default().to_owned();
     match session_file {
         Some(path) => command.replace("deploy/websocket.json", &path.display().to_string()),
@@ -527,6 +610,13 @@
     }
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, argument: u64, _: u64, _: u64, _: u64) -> i32;
+}
+
 /// A running dispatcher; killed when it is dropped.
 pub struct Dispatcher {
     pub child: Child,
@@ -550,7 +640,9 @@
             Some(listener) => {
                 let listener = listener.try_clone().unwrap();
                 let socket: std::os::fd::OwnedFd = listener.into();
-                shell.args(["-c", &format!("exec 5<&0 0</dev/null; {command}")]).stdin(Stdio::from(socket));
+                shell
+                    .args(["-c", &format!("exec 5<&0 0</dev/null; {command}")])
+                    .stdin(Stdio::from(socket));
                 shell.env("GW_SOCKET_FD", "5");
             }
             None => {
@@ -561,17 +653,29 @@
         for (name, value) in variables {
             shell.env(name, value);
         }
+        // The dispatcher ends with this process, however that ends.
+        unsafe {
+            shell.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
         let child = shell
             .stdout(Stdio::from(log.try_clone().unwrap()))
             .stderr(Stdio::from(log))
             .spawn()
             .unwrap_or_else(|error| could_not_run(&error.to_string()));
         record.line(&format!("dispatcher started, process {}", child.id()));
-        Dispatcher { child, record: record.clone() }
+        Dispatcher {
+            child,
+            record: record.clone(),
+        }
     }
 
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
         if !status.is_ok_and(|status| status.success()) {
             could_not_run("kill failed");
         }
@@ -594,7 +698,9 @@
 pub fn wait_until_ready(address: &str) {
     let is_ready = || -> Option<bool> {
         let mut stream = connect(address).ok()?;
-        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
+        stream
+            .write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            .ok()?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer).ok()?;
         Some(answer.starts_with("HTTP/1.1 200"))
@@ -749,7 +855,8 @@
 
     /// Ends the connection without a closing handshake, as when the terminal's link is lost and its machine says so.
     pub fn drop_connection(&self) {
-        self.record.line(&format!("{}: connection ended by the terminal", self.name));
+        self.record
+            .line(&format!("{}: connection ended by the terminal", self.name));
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
     }
 
@@ -760,13 +867,22 @@
     /// The final messages of a request, in their order.
     pub fn finals(&self, id: &str) -> Vec<Received> {
         let is_final = |kind: &str| ["served", "refused", "failed"].contains(&kind);
-        self.received().into_iter().filter(|message| message.id == id && is_final(&message.kind)).collect()
+        self.received()
+            .into_iter()
+            .filter(|message| message.id == id && is_final(&message.kind))
+            .collect()
     }
 
     /// The joined text of a request's events.
     pub fn answer(&self, id: &str) -> String {
-        let events = self.received().into_iter().filter(|message| message.id == id && message.kind == "event");
-        events.filter_map(|message| field(&message.text, "data")).map(|data| unescape(&data)).collect()
+        let events = self
+            .received()
+            .into_iter()
+            .filter(|message| message.id == id && message.kind == "event");
+        events
+            .filter_map(|message| field(&message.text, "data"))
+            .map(|data| unescape(&data))
+            .collect()
     }
 
     pub fn is_closed(&self) -> bool {
