Log the id under which endpoints know a session's request

No line of the log joined a terminal's id to the one that endpoints and all other lines have, so a mix-up of sessions in one process, a request that moved to the other process and an id that was given out twice looked alike. `session request submitted` (debug) has both.

--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -233,6 +233,8 @@
     async fn submit(&self) -> (PendingRequest, oneshot::Receiver<Outcome>) {
         let number = self.frontend.allocate_number();
         let upstream_id = format!("ws-{:016x}-{number}", self.frontend.boot_id);
+        debug!(self.frontend.log, "session request submitted"; "session_request_id" => &self.key.client_request_id,
+            "tenant" => self.key.tenant.as_deref(), "client_request_id" => &upstream_id);
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let metadata = RequestMetadata {
             time_left: time_left.as_micros() as u64,
