Draw the ids of sessions' requests, so that no two processes give one out

Cause: the id under which endpoints know a session's request was the FNV-1a hash of the configuration's seed and a number that began with 0 in each process. Ruled out by the same logs: a stream or request that moved (no such line), sessions mixed up in one process (one submission each), a retry with another prompt.

Change: ProcessIdentity draws 32 bytes from the operating system at the start; its generator gives each request 128 bits of ChaCha20. Ids of a predecessor, a successor, a process of the same millisecond and one after a crash differ, and knowing one tells nothing of the next.

--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -16,10 +16,11 @@
     parse, take_complete_utf8, ClientMessage, ClientRequest, InvalidMessage, InvalidMessageReason,
 };
 
-use crate::config::{fnv1a_hash, SessionConfig};
+use crate::config::SessionConfig;
 use crate::dispatcher::DispatcherHandle;
 use crate::frontend::memory_budget::BodyMemoryBudget;
 use crate::frontend::ShutdownPhase;
+use crate::identity::RequestIdGenerator;
 use axum::extract::ws::WebSocketUpgrade;
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -54,22 +55,21 @@
     cache: Arc<Mutex<IdempotencyCache>>,
     session_slots: Arc<Semaphore>,
     sessions: Arc<Mutex<HashMap<u64, Arc<SessionActivity>>>>,
-    /// The next number for a session, or for the id under which endpoints know a request.
-    next_number: Arc<AtomicU64>,
-    /// Part of the ids under which endpoints know requests. It differs between starts of the process.
-    boot_id: u64,
+    /// The next session's key in `sessions`. Nothing outside this process sees it.
+    next_session_number: Arc<AtomicU64>,
+    /// Generates the ids under which endpoints know requests.
+    request_ids: RequestIdGenerator,
     shutdown: watch::Receiver<ShutdownPhase>,
     log: Logger,
 }
 
 impl SessionFrontend {
-    /// Creates the shared state. `seed` makes the ids under which endpoints know requests differ between starts of the
-    /// process.
+    /// Creates the shared state. `request_ids` generates the ids under which endpoints know requests.
     pub fn new(
         dispatcher: DispatcherHandle,
         config: Arc<SessionConfig>,
         body_memory: BodyMemoryBudget,
-        seed: u64,
+        request_ids: RequestIdGenerator,
         shutdown: watch::Receiver<ShutdownPhase>,
         log: Logger,
     ) -> Self {
@@ -80,8 +80,8 @@
             session_slots: Arc::new(Semaphore::new(config.max_sessions)),
             config,
             sessions: Arc::default(),
-            next_number: Arc::default(),
-            boot_id: fnv1a_hash(&seed.to_string()),
+            next_session_number: Arc::default(),
+            request_ids,
             shutdown,
             log,
         }
@@ -132,8 +132,8 @@
             .cloned()
     }
 
-    fn allocate_number(&self) -> u64 {
-        self.next_number.fetch_add(1, Ordering::Relaxed)
+    fn allocate_session_number(&self) -> u64 {
+        self.next_session_number.fetch_add(1, Ordering::Relaxed)
     }
 }
 
@@ -162,7 +162,7 @@
         .read_buffer_size(READ_BUFFER_BYTES);
     upgrade.on_upgrade(move |socket| async move {
         let activity = SessionActivity::new(frontend.config.max_requests);
-        let number = frontend.allocate_number();
+        let number = frontend.allocate_session_number();
         frontend.sessions().insert(number, activity.clone());
         Session::new(frontend.clone(), activity, socket).run().await;
         frontend.sessions().remove(&number);
--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -231,8 +231,7 @@
     }
 
     async fn submit(&self) -> (PendingRequest, oneshot::Receiver<Outcome>) {
-        let number = self.frontend.allocate_number();
-        let upstream_id = format!("ws-{:016x}-{number}", self.frontend.boot_id);
+        let upstream_id = self.frontend.request_ids.next_id();
         debug!(self.frontend.log, "session request submitted"; "session_request_id" => &self.key.client_request_id,
             "tenant" => self.key.tenant.as_deref(), "client_request_id" => &upstream_id);
         let time_left = self.deadline.saturating_duration_since(Instant::now());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod dispatcher;
 pub mod frontend;
 pub mod gossip;
+pub mod identity;
 pub mod net;
 pub mod process;
 pub mod recording;
--- a/src/process/error.rs
+++ b/src/process/error.rs
@@ -35,6 +35,9 @@
     /// The configuration's `seed` is not a hexadecimal number of 64 bits.
     #[error("the seed is not hexadecimal")]
     InvalidSeed(#[source] std::num::ParseIntError),
+    /// The operating system returned no random bytes for the process's identity.
+    #[error("no random bytes: {0}")]
+    Identity(#[source] getrandom::Error),
     /// The recording's file could not be created or written.
     #[error("the recording {}: {source}", path.display())]
     Recording {
--- a/src/process/frontends.rs
+++ b/src/process/frontends.rs
@@ -10,6 +10,7 @@
 use crate::dispatcher::DispatcherHandle;
 use crate::frontend::listener::MigrationChannels;
 use crate::frontend::{health_check, http, listener, websocket, ShutdownPhase};
+use crate::identity::RequestIdGenerator;
 use crate::net::adjustable_semaphore::AdjustableSemaphore;
 use slog::Logger;
 use std::sync::Arc;
@@ -22,7 +23,7 @@
     pub dispatcher: DispatcherHandle,
     pub limits: SharedLimits,
     pub sessions: SessionBudget,
-    pub seed: u64,
+    pub request_ids: RequestIdGenerator,
     pub streams: StreamChannels,
     pub log: Logger,
 }
@@ -67,7 +68,7 @@
             dispatcher,
             limits,
             sessions: session_budget,
-            seed,
+            request_ids,
             streams,
             log,
         } = inputs;
@@ -88,7 +89,7 @@
             dispatcher.clone(),
             Arc::new(session_budget.config),
             limits.body_memory,
-            seed,
+            request_ids,
             phase.clone(),
             log.clone(),
         );
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::config::{Config, Deployment, LoadedConfig};
 use crate::dispatcher::Clock;
+use crate::identity::ProcessIdentity;
 use crate::upgrade::{PeerProcesses, ResourceLimits, UpgradeCoordinator};
 use crate::variants::{is_enabled, Variant};
 use core_startup::CoreStartup;
@@ -64,6 +65,8 @@
     /// The text of the running configuration, against which a reloaded file is checked.
     config_text: String,
     deployment: Arc<Deployment>,
+    /// The source of what this process names.
+    identity: ProcessIdentity,
     seed: u64,
     clock: Clock,
     budgets: ResourceBudgets,
@@ -115,7 +118,7 @@
         dispatcher: dispatcher.clone(),
         limits,
         sessions: startup.budgets.sessions,
-        seed: startup.seed,
+        request_ids: startup.identity.request_ids(),
         streams,
         log: log.clone(),
     };
@@ -173,12 +176,14 @@
         };
         let auxiliary = AuxiliaryListeners::bind(&options, peers.predecessor).await?;
         let seed = u64::from_str_radix(&config.seed, 16).map_err(ServeError::InvalidSeed)?;
+        let identity = ProcessIdentity::draw().map_err(ServeError::Identity)?;
         let startup = Startup {
             budgets: ResourceBudgets::new(config, options.files.sessions),
             config: options.files.config,
             config_path: options.config_path,
             config_text: options.files.text,
             deployment: Arc::new(options.files.deployment),
+            identity,
             seed,
             clock,
             recording: options.recording,
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -14,6 +14,7 @@
 use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle, DrainSchedule, Event};
 use quartzhall::frontend::memory_budget::BodyMemoryBudget;
 use quartzhall::frontend::{admin, health_check, http, listener, websocket, ShutdownPhase};
+use quartzhall::identity::ProcessIdentity;
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
 use quartzhall::{backend, discovery};
 use slog::{o, Discard, Logger};
@@ -142,7 +143,7 @@
             dispatcher.clone(),
             session_config,
             memory_budget.clone(),
-            1,
+            ProcessIdentity::draw().unwrap().request_ids(),
             shutdown_phase.clone(),
             log.clone(),
         );
--- a/tests/testbed/session_client.rs
+++ b/tests/testbed/session_client.rs
@@ -17,8 +17,15 @@
 impl SessionClient {
     /// Opens a session.
     pub(crate) async fn connect(fleet: &Fleet) -> SessionClient {
-        let url = format!("ws://{}/v1/sessions", fleet.websocket_address);
-        SessionClient(tokio_tungstenite::connect_async(url).await.unwrap().0)
+        let connected = SessionClient::try_connect(&fleet.websocket_address).await;
+        connected.expect("a session")
+    }
+
+    /// Opens a session with the dispatcher at this address; `None` if it accepts none.
+    pub(crate) async fn try_connect(address: &str) -> Option<SessionClient> {
+        let url = format!("ws://{address}/v1/sessions");
+        let (socket, _) = tokio_tungstenite::connect_async(url).await.ok()?;
+        Some(SessionClient(socket))
     }
 
     /// Sends a text message as it is.
