Give each process its own random seeds, whatever the configuration's seed is

Callers could see: while discovery rejects calls, two processes of one configuration that start together call it in step, and their routers sample the same endpoints.

Cause: the configuration's seed went as it is to the router and to the discovery client, and an upgrade leaves it as it is.

Change: ProcessIdentity gives each use a seed from its secret and the configured one; the router's is logged for replays.

--- a/src/identity/request_ids.rs
+++ b/src/identity/request_ids.rs
@@ -3,8 +3,7 @@
 //! Endpoints keep the KV cache of a request by its id, also across connections and for requests of other dispatchers.
 //! An id that is given out twice lets one request run with the KV cache of another.
 
-use super::SECRET_BYTES;
-use rand::{RngCore, SeedableRng};
+use rand::RngCore;
 use rand_chacha::ChaCha20Rng;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -19,10 +18,10 @@
 }
 
 impl RequestIdGenerator {
-    /// Creates the generator of the process with this secret.
-    pub(super) fn new(secret: [u8; SECRET_BYTES]) -> RequestIdGenerator {
+    /// Creates the generator of a process from its source of random bits.
+    pub(super) fn new(rng: ChaCha20Rng) -> RequestIdGenerator {
         RequestIdGenerator {
-            rng: Arc::new(Mutex::new(ChaCha20Rng::from_seed(secret))),
+            rng: Arc::new(Mutex::new(rng)),
         }
     }
 
--- a/src/process/core_startup.rs
+++ b/src/process/core_startup.rs
@@ -7,6 +7,7 @@
 use crate::config::{Config, Deployment};
 use crate::discovery;
 use crate::dispatcher::{self, Core, DispatcherHandle, Event, EventReceiver};
+use crate::identity::RandomSource;
 use crate::upgrade::UpgradeCoordinator;
 use quartzhall_recording::Recorder;
 use slog::{info, Logger};
@@ -38,10 +39,11 @@
         let deployment = startup.deployment.clone();
         let log = startup.log.clone();
         let (dispatcher, events) = dispatcher::channel(deployment.clone());
+        let routing_seed = startup.identity.seed(RandomSource::Routing);
         let mut core = Core::new(
             deployment.clone(),
             startup.budgets.sockets.endpoints,
-            startup.seed,
+            routing_seed,
             startup.clock.now(),
             log.clone(),
         );
@@ -70,7 +72,8 @@
         if startup.peers.predecessor {
             core.start_in_standby();
         }
-        info!(log, "starting"; "stage" => "core created", "endpoints" => core.endpoint_count());
+        info!(log, "starting"; "stage" => "core created", "endpoints" => core.endpoint_count(),
+            "routing_seed" => format!("{routing_seed:016x}"));
         Ok(CoreStartup {
             core,
             dispatcher,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -65,9 +65,8 @@
     /// The text of the running configuration, against which a reloaded file is checked.
     config_text: String,
     deployment: Arc<Deployment>,
-    /// The source of what this process names.
+    /// The source of what this process names and draws.
     identity: ProcessIdentity,
-    seed: u64,
     clock: Clock,
     budgets: ResourceBudgets,
     recording: Option<PathBuf>,
@@ -176,7 +175,7 @@
         };
         let auxiliary = AuxiliaryListeners::bind(&options, peers.predecessor).await?;
         let seed = u64::from_str_radix(&config.seed, 16).map_err(ServeError::InvalidSeed)?;
-        let identity = ProcessIdentity::draw().map_err(ServeError::Identity)?;
+        let identity = ProcessIdentity::draw(seed).map_err(ServeError::Identity)?;
         let startup = Startup {
             budgets: ResourceBudgets::new(config, options.files.sessions),
             config: options.files.config,
@@ -184,7 +183,6 @@
             config_text: options.files.text,
             deployment: Arc::new(options.files.deployment),
             identity,
-            seed,
             clock,
             recording: options.recording,
             upgrade,
--- a/src/process/tasks.rs
+++ b/src/process/tasks.rs
@@ -11,6 +11,7 @@
 use crate::frontend::admin;
 use crate::gossip::transport::GossipTransport;
 use crate::gossip::Gossip;
+use crate::identity::RandomSource;
 use crate::upgrade::resource_shares::ProcessState;
 use crate::upgrade::stream_migration::{
     self, MigratingStream, MigrationHandle, MigrationSender, ReceivedStream, ReceiverProcess,
@@ -193,7 +194,7 @@
         self.tasks.spawn(discovery::run(
             address,
             endpoints.deployment,
-            startup.seed,
+            startup.identity.seed(RandomSource::Discovery),
             endpoints.revision,
             self.dispatcher.clone(),
             self.log.clone(),
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -143,7 +143,7 @@
             dispatcher.clone(),
             session_config,
             memory_budget.clone(),
-            ProcessIdentity::draw().unwrap().request_ids(),
+            ProcessIdentity::draw(1).unwrap().request_ids(),
             shutdown_phase.clone(),
             log.clone(),
         );
--- a/tests/unit/identity/process_identity.rs
+++ b/tests/unit/identity/process_identity.rs
@@ -2,6 +2,8 @@
 use crate::frontend::identifiers::is_valid_name;
 use std::collections::HashSet;
 
+/// All processes of a test have the same configuration.
+const CONFIGURED_SEED: u64 = 0x8c1f;
 const IDS_PER_PROCESS: usize = 1_000;
 
 fn ids(generator: &RequestIdGenerator) -> Vec<String> {
@@ -12,7 +14,9 @@
 /// processes that start at the same time, with the same configuration, give out different ones.
 #[test]
 fn processes_that_start_together_give_out_different_request_ids() {
-    let processes: Vec<_> = (0..4).map(|_| ProcessIdentity::draw().unwrap()).collect();
+    let processes: Vec<_> = (0..4)
+        .map(|_| ProcessIdentity::draw(CONFIGURED_SEED).unwrap())
+        .collect();
     let mut distinct = HashSet::new();
     for process in &processes {
         distinct.extend(ids(&process.request_ids()));
@@ -23,7 +27,7 @@
 /// Two users of one process's generator, such as two sessions, give out different ids.
 #[test]
 fn clones_of_a_generator_share_its_sequence() {
-    let process = ProcessIdentity::draw().unwrap();
+    let process = ProcessIdentity::draw(CONFIGURED_SEED).unwrap();
     let mut distinct: HashSet<String> = HashSet::new();
     distinct.extend(ids(&process.request_ids()));
     distinct.extend(ids(&process.request_ids()));
@@ -33,6 +37,24 @@
 /// Ids stand in the paths of release calls.
 #[test]
 fn request_ids_need_no_escapes_in_a_path() {
-    let id = ProcessIdentity::draw().unwrap().request_ids().next_id();
+    let id = ProcessIdentity::draw(CONFIGURED_SEED)
+        .unwrap()
+        .request_ids()
+        .next_id();
     assert!(is_valid_name(&id), "{id}");
 }
+
+/// Guards against random choices that follow from the configuration: processes of one configuration have different
+/// seeds, and so have the uses of one process.
+#[test]
+fn each_process_and_each_use_has_a_seed_of_its_own() {
+    let mut distinct = HashSet::from([CONFIGURED_SEED]);
+    for _ in 0..4 {
+        let process = ProcessIdentity::draw(CONFIGURED_SEED).unwrap();
+        let routing = process.seed(RandomSource::Routing);
+        assert_eq!(routing, process.seed(RandomSource::Routing));
+        distinct.insert(routing);
+        distinct.insert(process.seed(RandomSource::Discovery));
+    }
+    assert_eq!(distinct.len(), 1 + 4 * 2);
+}
