Claim the start time before it is announced, so that no two processes have one

Operators could see: of processes that start together beside a clock that was set back, several announce one start time. Each is the other's predecessor for its share (both keep one sixteenth), both bind the sessions' address, and each removes the other's stream socket.

Cause: the time was chosen after a listing and announced by a rename, with nothing exclusive between.

Change: StartTimeClaim creates the file that becomes the announcement under a name of the time alone and looks at the announcements once more.

--- a/src/upgrade/announcements.rs
+++ b/src/upgrade/announcements.rs
@@ -7,6 +7,7 @@
 use super::process_announcement::{ProcessAnnouncement, ProcessState};
 use super::resource_shares::{MAX_SHARE, STARTING_SHARE};
 use super::shared_folder::{AnnouncementName, SharedFile, SharedFolder};
+use super::start_time_claim::StartTimeClaim;
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Read};
 use std::os::unix::fs::FileExt;
@@ -77,52 +78,25 @@
 impl ProcessAnnouncements {
     /// Publishes an announcement of this process and reads those of the others.
     ///
-    /// `now`, in Unix microseconds, is announced as its start time, unless a live process has announced the same or a
-    /// later time. That happens after the wall clock was set back. The announced time is then one microsecond after
-    /// that of the youngest process.
+    /// `now`, in Unix microseconds, is announced as its start time, unless a live process has claimed the same time or
+    /// has announced the same or a later one. The latter happens after the wall clock was set back. The announced time
+    /// is then the earliest free one after that of the youngest process.
     pub(super) fn publish(folder: SharedFolder, now: u64) -> io::Result<ProcessAnnouncements> {
-        let started_at = match youngest_live_process(&folder)? {
-            Some(youngest) => now.max(youngest.saturating_add(1)),
-            None => now,
+        let claim = StartTimeClaim::acquire(&folder, now)?;
+        let own = ProcessAnnouncement {
+            started_at: claim.started_at(),
+            state: ProcessState::Starting,
+            share: STARTING_SHARE,
         };
-        let temporary_path = folder.temporary_announcement(started_at);
-        let own_file = File::options()
-            .read(true)
-            .write(true)
-            .create_new(true)
-            .open(&temporary_path)?;
-        // Other processes don't remove temporary announcements, so a failed one is removed here.
-        let announced = ProcessAnnouncements::announce(folder, own_file, started_at);
-        if announced.is_err() {
-            let _ = fs::remove_file(&temporary_path);
-        }
-        announced
-    }
-
-    /// Locks and writes the file of this process, and renames it to the name under which others read it.
-    fn announce(
-        folder: SharedFolder,
-        own_file: File,
-        started_at: u64,
-    ) -> io::Result<ProcessAnnouncements> {
-        own_file.try_lock().map_err(io::Error::from)?;
-        let temporary_path = folder.temporary_announcement(started_at);
         let mut announcements = ProcessAnnouncements {
-            own_path: folder.announcement(started_at),
+            own_file: claim.announce(&own.to_line())?,
+            own_path: folder.announcement(own.started_at),
             folder,
-            own_file,
-            own: ProcessAnnouncement {
-                started_at,
-                state: ProcessState::Starting,
-                share: STARTING_SHARE,
-            },
+            own,
             is_published: true,
             others: Vec::new(),
             last_scan: None,
         };
-        announcements.write_own()?;
-        // The rename comes after the lock: other processes take an unlocked file for a dead process's.
-        fs::rename(&temporary_path, &announcements.own_path)?;
         announcements.scan()?;
         Ok(announcements)
     }
@@ -276,25 +250,6 @@
     }
 }
 
-/// Returns when the youngest live process started, in Unix microseconds; `None` if no process is alive.
-fn youngest_live_process(folder: &SharedFolder) -> io::Result<Option<u64>> {
-    let mut youngest = None;
-    for entry in fs::read_dir(folder.path())? {
-        let path = entry?.path();
-        let Some(SharedFile::Announcement(name)) = folder.classify(&path) else {
-            continue;
-        };
-        let Some(started_at) = name.started_at else {
-            continue;
-        };
-        let is_alive = File::open(&path).is_ok_and(|file| file.try_lock_shared().is_err());
-        if is_alive {
-            youngest = youngest.max(Some(started_at));
-        }
-    }
-    Ok(youngest)
-}
-
 #[cfg(test)]
 #[path = "../../tests/unit/upgrade/announcements.rs"]
 mod tests;
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -7,6 +7,7 @@
 //! * `inherited_socket` takes over the listening socket on which both processes accept connections;
 //! * `announcements` publishes the `process_announcement` of this process and reads those of other live processes, in
 //!   files that `shared_folder` names;
+//! * `start_time_claim` claims the start time that identifies this process among them;
 //! * [`resource_shares`] divides the dispatcher's limits among its processes;
 //! * `ban_file` shares the bans that operators have set;
 //! * `coordinator` owns the state of announcement, share and bans, and keeps it up to date while the process runs;
@@ -19,6 +20,7 @@
 mod process_announcement;
 pub mod resource_shares;
 mod shared_folder;
+mod start_time_claim;
 pub mod stream_migration;
 
 pub use announcements::PeerProcesses;
--- a/src/upgrade/shared_folder.rs
+++ b/src/upgrade/shared_folder.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 const ANNOUNCEMENT_SUFFIX: &str = ".notice";
-/// The suffix of an announcement whose file is not locked yet.
-const TEMPORARY_ANNOUNCEMENT_SUFFIX: &str = ".new";
+/// The suffix of a claimed start time, whose file becomes an announcement.
+const START_TIME_CLAIM_SUFFIX: &str = ".new";
 /// The suffix of a ban file that is being written.
 const TEMPORARY_BANS_SUFFIX: &str = ".bans-new";
 
@@ -71,17 +71,16 @@
 
     /// Returns the path of the announcement of this process, whose start time is in Unix microseconds.
     pub(super) fn announcement(&self, started_at: u64) -> PathBuf {
-        self.own_announcement(started_at, ANNOUNCEMENT_SUFFIX)
-    }
-
-    /// Returns the path of the announcement of this process while its file is not locked yet.
-    pub(super) fn temporary_announcement(&self, started_at: u64) -> PathBuf {
-        self.own_announcement(started_at, TEMPORARY_ANNOUNCEMENT_SUFFIX)
+        let process_id = std::process::id();
+        self.file(&format!(
+            "-{started_at:020}-{process_id}{ANNOUNCEMENT_SUFFIX}"
+        ))
     }
 
-    fn own_announcement(&self, started_at: u64, suffix: &str) -> PathBuf {
-        let process_id = std::process::id();
-        self.file(&format!("-{started_at:020}-{process_id}{suffix}"))
+    /// Returns the path of the file by which a process claims this start time (Unix microseconds). It is the same for
+    /// all processes, so that only one can create it.
+    pub(super) fn start_time_claim(&self, started_at: u64) -> PathBuf {
+        self.file(&format!("-{started_at:020}{START_TIME_CLAIM_SUFFIX}"))
     }
 
     /// Returns the path of the socket on which the process with this start time (Unix microseconds) receives streams.
--- a/tests/unit/upgrade/announcements.rs
+++ b/tests/unit/upgrade/announcements.rs
@@ -75,7 +75,7 @@
     // A folder has the announcement's name, so that the rename fails.
     fs::create_dir(folder.shared().announcement(1)).unwrap();
     assert!(ProcessAnnouncements::publish(folder.shared(), 1).is_err());
-    assert!(!folder.shared().temporary_announcement(1).exists());
+    assert!(!folder.shared().start_time_claim(1).exists());
 }
 
 /// Streams go to the youngest process that serves, even if it is older than the sender. Only if none serves do they go
--- a/tests/unit/upgrade/shared_folder.rs
+++ b/tests/unit/upgrade/shared_folder.rs
@@ -25,7 +25,7 @@
     );
     let other_dispatcher = SharedFolder::new(Path::new("/shared"), "n2");
     for path in [
-        folder.temporary_announcement(5),
+        folder.start_time_claim(5),
         folder.stream_socket(5),
         folder.bans(),
         other_dispatcher.announcement(5),
