--- a/tests/unit/dispatcher/bans.rs
+++ b/tests/unit/dispatcher/bans.rs
@@ -114,3 +114,18 @@
         assert!(one.records().is_empty(), "forgotten after the retention");
     }
 }
+
+/// Two operators change one endpoint in the same microsecond, each at another process. Both processes must come to the same
+/// state, and the ban is the one that breaks no rule.
+#[test]
+fn of_two_changes_in_one_microsecond_the_ban_counts_in_both_processes() {
+    let (mut one, mut two) = (BanList::default(), BanList::default());
+    one.set(10, &id("a"), true, true).unwrap();
+    two.set(9, &id("a"), true, true).unwrap();
+    two.set(10, &id("a"), false, true).unwrap();
+    let (records_of_one, records_of_two) = (one.records().clone(), two.records().clone());
+    one.merge(11, &records_of_two);
+    two.merge(11, &records_of_one);
+    assert_eq!(one.records(), two.records());
+    assert!(one.is_banned("a") && two.is_banned("a"));
+}
