--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -142,13 +142,13 @@
             let started = Instant::now();
             let response = timeout(poll.timeout, fetch_list(&client, address, &poll.target)).await;
             match response.unwrap_or(Err(PollError::Timeout)) {
-                Ok(list) => self.on_list(&mut state, &list, started).await,
+                Ok(list) => self.handle_list(&mut state, &list, started).await,
                 Err(error) => self.on_error(&mut state, &error, started).await,
             }
         }
     }
 
-    async fn on_list(&mut self, state: &mut WatchState, list: &EndpointList, started: Instant) {
+    async fn handle_list(&mut self, state: &mut WatchState, list: &EndpointList, started: Instant) {
         self.backoff.reset();
         debug!(self.log, "endpoint list received"; "revision" => list.revision, "is_full" => list.complete,
             "endpoints" => list.members.len());
--- a/src/upgrade/stream_migration/frame.rs
+++ b/src/upgrade/stream_migration/frame.rs
@@ -157,7 +157,7 @@
 }
 
 /// Removes a big-endian number from the front of `bytes` and returns it; `None` if too few bytes are left.
-fn take_number(bytes: &mut &[u8]) -> Option<u32> {
+fn take_u32(bytes: &mut &[u8]) -> Option<u32> {
     let (number, rest) = bytes.split_first_chunk()?;
     *bytes = rest;
     Some(u32::from_be_bytes(*number))
@@ -169,7 +169,7 @@
         let (magic, fields) = bytes.split_first_chunk()?;
         let version = FrameVersion::of(*magic)?;
         let (chunks, mut fields) = fields.split_first_chunk()?;
-        let partial_event_bytes = take_number(&mut fields)?;
+        let partial_event_bytes = take_u32(&mut fields)?;
         if partial_event_bytes > MAX_PARTIAL_EVENT_BYTES {
             return None;
         }
@@ -188,10 +188,10 @@
         let (flags, mut fields) = bytes.split_first()?;
         let extension = FrameExtension {
             closes_connection: flags & CLOSES_CONNECTION != 0,
-            unsent_bytes: take_number(&mut fields)?,
-            pipelined_bytes: take_number(&mut fields)?,
-            request_id_bytes: take_number(&mut fields)?,
-            idle_ms: take_number(&mut fields)?,
+            unsent_bytes: take_u32(&mut fields)?,
+            pipelined_bytes: take_u32(&mut fields)?,
+            request_id_bytes: take_u32(&mut fields)?,
+            idle_ms: take_u32(&mut fields)?,
         };
         let fits = extension.unsent_bytes <= MAX_BUFFERED_BYTES
             && extension.pipelined_bytes <= MAX_BUFFERED_BYTES
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -256,6 +256,15 @@
             .unwrap_or_else(|_| panic!("not within 10 s: {what}"));
     }
 
+    /// Waits until a replica has received an attempt; panics after 10 s.
+    pub(crate) async fn wait_for_attempt_at(&self, number: usize) {
+        self.wait_until("an attempt at the replica", |activity| {
+            let mut attempts = activity.attempts.iter();
+            attempts.any(|(replica, _)| *replica == number)
+        })
+        .await;
+    }
+
     /// Asserts that within 1 s no KV cache is reserved, no request is in flight and none is open in the dispatcher.
     pub(crate) async fn assert_all_released(&self) {
         let wait = async {
--- a/tests/unit/upgrade/ban_file.rs
+++ b/tests/unit/upgrade/ban_file.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::upgrade::test_support::{ban_record, one_ban, TemporaryFolder};
+use crate::upgrade::test_support::{ban_record, single_ban, TemporaryFolder};
 
 #[test]
 fn ban_file_parses_to_what_was_formatted_and_merging_keeps_the_newest_records() {
@@ -19,7 +19,7 @@
     // A process writes its records again if the file lacks them, and writes nothing if it knows no more than the file.
     assert_eq!(merge_records(&own, &BanRecords::new()), Some(own.clone()));
     assert_eq!(merge_records(&own, &own), None);
-    assert_eq!(merge_records(&BanRecords::new(), &one_ban(5)), None);
+    assert_eq!(merge_records(&BanRecords::new(), &single_ban(5)), None);
     let newer = BanRecords::from([(Arc::from("a"), ban_record(9, false))]);
     assert_eq!(
         merge_records(&own, &newer).unwrap()["a"],
@@ -36,6 +36,8 @@
     fs::create_dir_all(&path).unwrap();
     assert_eq!(successor.read_changed_bans(), None);
     fs::remove_dir(&path).unwrap();
-    BanFile::new(&folder.shared()).write(&one_ban(5)).unwrap();
-    assert_eq!(successor.read_changed_bans(), Some(one_ban(5)));
+    BanFile::new(&folder.shared())
+        .write(&single_ban(5))
+        .unwrap();
+    assert_eq!(successor.read_changed_bans(), Some(single_ban(5)));
 }
--- a/tests/unit/upgrade/coordinator.rs
+++ b/tests/unit/upgrade/coordinator.rs
@@ -2,7 +2,7 @@
 use crate::config::{Deployment, SettingsObject};
 use crate::dispatcher::EventReceiver;
 use crate::upgrade::ban_file::parse_records;
-use crate::upgrade::test_support::{one_ban, TemporaryFolder};
+use crate::upgrade::test_support::{single_ban, TemporaryFolder};
 use miniserde::json;
 use std::sync::Arc;
 
@@ -51,7 +51,7 @@
     let mut successor = folder.start_coordinator(2);
     fs::write(folder.shared().bans(), "{\"version\":").unwrap();
     assert_eq!(successor.read_changed_bans(), Some(BanRecords::new()));
-    predecessor.ban_file.write(&one_ban(5)).unwrap();
+    predecessor.ban_file.write(&single_ban(5)).unwrap();
     let mut running = spawn_coordinator(successor, ProcessState::Starting);
     let receive_bans = async {
         loop {
@@ -61,7 +61,7 @@
         }
     };
     let received = tokio::time::timeout(Duration::from_secs(5), receive_bans).await;
-    assert_eq!(received.expect("bans received"), one_ban(5));
+    assert_eq!(received.expect("bans received"), single_ban(5));
 }
 
 #[tokio::test(start_paused = true)]
@@ -72,14 +72,14 @@
     // A non-empty folder can't be replaced by a file.
     fs::create_dir_all(path.join("full")).unwrap();
     let running = spawn_coordinator(coordinator, ProcessState::Serving);
-    running.events.ban_records.send_replace(one_ban(5));
+    running.events.ban_records.send_replace(single_ban(5));
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert!(path.is_dir());
     fs::remove_dir_all(&path).unwrap();
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(
         parse_records(&fs::read_to_string(&path).unwrap()).unwrap(),
-        one_ban(5)
+        single_ban(5)
     );
 }
 
--- a/tests/unit/upgrade/support.rs
+++ b/tests/unit/upgrade/support.rs
@@ -60,6 +60,6 @@
 }
 
 /// Returns the ban records of a single ban.
-pub(super) fn one_ban(banned_at: u64) -> BanRecords {
+pub(super) fn single_ban(banned_at: u64) -> BanRecords {
     BanRecords::from([(Arc::from("r1"), ban_record(banned_at, true))])
 }
