Soak: excuse what is sent to a process while its kill has not ended it yet

The rig noted the kill and then ended the process; a request sent between the two, which the system still accepts, counted as sent to a process that nobody had killed. It is excused from the kill to the next start now, no longer; other processes are as before.

The new test of the oracle fails with the comparison as it was.

--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -72,6 +72,7 @@
     requests: HashMap<String, RequestHistory>,
     violations: Vec<Violation>,
     killed_at: HashMap<usize, Instant>, // last kill, by process
+    being_killed: HashSet<usize>,       // processes from their kill to the next start
     terminated_at: HashMap<usize, Instant>, // SIGTERM, by process that is shutting down
     flooded: HashSet<usize>,            // processes in a flood of idle connections
     paused: HashSet<usize>,             // processes that are stopped
--- a/crates/soak/src/oracle/processes.rs
+++ b/crates/soak/src/oracle/processes.rs
@@ -59,11 +59,25 @@
         }
     }
 
-    /// Returns whether a process was killed at or after `since`.
+    /// Records that a process is about to be killed. The system accepts connections for it until it has ended, so that a
+    /// request may be sent after this moment; up to the next start its closed connection is the kill's.
+    pub fn on_kill_started(&self, process: usize) {
+        self.state().being_killed.insert(process);
+        self.on_process_killed(process);
+    }
+
+    /// Records that a killed process is about to be started again.
+    pub fn on_restart_after_kill(&self, process: usize) {
+        self.on_process_killed(process);
+        self.state().being_killed.remove(&process);
+    }
+
+    /// Returns whether a process is being killed, or was killed at or after `since`.
     pub fn was_killed_since(&self, process: usize, since: Instant) -> bool {
         let state = self.state();
         let killed_at = state.killed_at.get(&process);
-        killed_at.is_some_and(|killed_at| *killed_at >= since)
+        state.being_killed.contains(&process)
+            || killed_at.is_some_and(|killed_at| *killed_at >= since)
     }
 
     /// Records that a process is about to be paused. Requests that arrive meanwhile wait in the accept queue, even if
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -126,11 +126,10 @@
         if !process.claim_for_exit() {
             return;
         }
-        self.oracle.on_process_killed(process.number);
+        self.oracle.on_kill_started(process.number);
         drop(process.take_dispatcher());
         sleep(duration).await;
-        // Excuses the requests that were sent after the kill.
-        self.oracle.on_process_killed(process.number);
+        self.oracle.on_restart_after_kill(process.number);
         self.restart(process).await;
     }
 
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -174,3 +174,24 @@
     oracle.on_closed_without_response("next", true);
     assert_eq!(oracle.violations().len(), 2);
 }
+
+/// The system accepts connections for a process until its kill has ended it. A request that is sent then is closed with the
+/// process; one that is sent after the restart is not excused.
+#[test]
+fn request_sent_while_a_process_is_being_killed_is_excused() {
+    let oracle = Oracle::new();
+    assert!(!oracle.was_killed_since(3, Instant::now()));
+    oracle.on_kill_started(3);
+    let sent_during_kill = Instant::now();
+    assert!(oracle.was_killed_since(3, sent_during_kill));
+    assert!(
+        !oracle.was_killed_since(4, sent_during_kill),
+        "another process"
+    );
+    oracle.on_restart_after_kill(3);
+    assert!(oracle.was_killed_since(3, sent_during_kill));
+    assert!(
+        !oracle.was_killed_since(3, Instant::now()),
+        "sent after the restart"
+    );
+}
