Name a new ban file by the claimed start time, too, not by the process's number alone

Two containers that share the folder may have one process number; one process could then write into the ban file that the other had begun.

The new unit test forces the order and fails with the number alone.

--- a/src/upgrade/ban_file.rs
+++ b/src/upgrade/ban_file.rs
@@ -121,11 +121,12 @@
 }
 
 impl BanFile {
-    /// Creates a value for the ban file in this folder, which need not exist yet.
-    pub(super) fn new(folder: &SharedFolder) -> BanFile {
+    /// Creates a value for the ban file in this folder, which need not exist yet, as the process with this start time
+    /// (Unix microseconds) uses it.
+    pub(super) fn new(folder: &SharedFolder, started_at: u64) -> BanFile {
         BanFile {
             path: folder.bans(),
-            temporary_path: folder.temporary_bans(std::process::id()),
+            temporary_path: folder.temporary_bans(started_at, std::process::id()),
             last_read: None,
         }
     }
--- a/src/upgrade/coordinator.rs
+++ b/src/upgrade/coordinator.rs
@@ -56,9 +56,10 @@
         log: Logger,
     ) -> io::Result<UpgradeCoordinator> {
         let folder = SharedFolder::new(folder, name);
+        let announcements = ProcessAnnouncements::publish(folder.clone(), now)?;
         Ok(UpgradeCoordinator {
-            announcements: ProcessAnnouncements::publish(folder.clone(), now)?,
-            ban_file: BanFile::new(&folder),
+            ban_file: BanFile::new(&folder, announcements.own().started_at),
+            announcements,
             folder,
             last_warning_at: None,
             log,
--- a/src/upgrade/shared_folder.rs
+++ b/src/upgrade/shared_folder.rs
@@ -107,9 +107,12 @@
         self.file(".bans")
     }
 
-    /// Returns the path under which the process with this id writes a new ban file before it renames it.
-    pub(super) fn temporary_bans(&self, process_id: u32) -> PathBuf {
-        self.file(&format!("-{process_id}{TEMPORARY_BANS_SUFFIX}"))
+    /// Returns the path under which the process with this start time (Unix microseconds) and this id writes a new ban
+    /// file before it renames it. The id alone is not unique: containers that share the folder have ids of their own.
+    pub(super) fn temporary_bans(&self, started_at: u64, process_id: u32) -> PathBuf {
+        self.file(&format!(
+            "-{started_at:020}-{process_id}{TEMPORARY_BANS_SUFFIX}"
+        ))
     }
 
     fn file(&self, rest: &str) -> PathBuf {
--- a/tests/unit/upgrade/announcements.rs
+++ b/tests/unit/upgrade/announcements.rs
@@ -61,8 +61,8 @@
 fn temporary_ban_file_of_a_killed_process_is_removed() {
     let folder = TemporaryFolder::new("temporary-bans");
     let mut announcements = publish(&folder, 1);
-    let file_of_killed = folder.shared().temporary_bans(1);
-    let own_file = folder.shared().temporary_bans(std::process::id());
+    let file_of_killed = folder.shared().temporary_bans(1, 1);
+    let own_file = folder.shared().temporary_bans(1, std::process::id());
     fs::write(&file_of_killed, "{\"version\":1,\"ma").unwrap();
     fs::write(&own_file, "").unwrap();
     announcements.scan().unwrap();
--- a/tests/unit/upgrade/ban_file.rs
+++ b/tests/unit/upgrade/ban_file.rs
@@ -36,8 +36,22 @@
     fs::create_dir_all(&path).unwrap();
     assert_eq!(successor.read_changed_bans(), None);
     fs::remove_dir(&path).unwrap();
-    BanFile::new(&folder.shared())
+    BanFile::new(&folder.shared(), 1)
         .write(&single_ban(5))
         .unwrap();
     assert_eq!(successor.read_changed_bans(), Some(single_ban(5)));
 }
+
+/// Two processes may have one process id, in containers that share the folder. Guards against one that writes into the file
+/// that the other has begun.
+#[test]
+fn processes_with_one_id_write_new_ban_files_of_their_own() {
+    let folder = TemporaryFolder::new("one-id");
+    let [first, second] = [1, 2].map(|started_at| BanFile::new(&folder.shared(), started_at));
+    fs::write(&first.temporary_path, "begun").unwrap();
+    second.write(&single_ban(5)).unwrap();
+    assert_eq!(fs::read_to_string(&first.temporary_path).unwrap(), "begun");
+    first.write(&single_ban(6)).unwrap();
+    let text = fs::read_to_string(folder.shared().bans()).unwrap();
+    assert_eq!(parse_records(&text).unwrap(), single_ban(6));
+}
--- a/tests/unit/upgrade/shared_folder.rs
+++ b/tests/unit/upgrade/shared_folder.rs
@@ -13,7 +13,7 @@
         }))
     );
     assert_eq!(
-        folder.classify(&folder.temporary_bans(7)),
+        folder.classify(&folder.temporary_bans(5, 7)),
         Some(SharedFile::TemporaryBans {
             process_id: Some(7)
         })
