--- a/crates/scale/src/core_steps.rs
+++ b/crates/scale/src/core_steps.rs
@@ -256,6 +256,7 @@
             metadata,
             upstream,
             outcome,
+            end_report: None,
         };
         let commands = self.measure_event("core: request", arrived);
         let commands = self.answer_probes(commands);
--- a/examples/recording_cost.rs
+++ b/examples/recording_cost.rs
@@ -72,6 +72,7 @@
         metadata,
         upstream,
         outcome,
+        end_report: None,
     };
     core.handle_event(now, arrived);
     let ended = |attempt, reason| Event::AttemptEnded {
--- a/src/dispatcher/core.rs
+++ b/src/dispatcher/core.rs
@@ -104,7 +104,8 @@
                 metadata,
                 upstream,
                 outcome,
-            } => self.on_request_arrived(now, metadata, upstream, outcome),
+                end_report,
+            } => self.on_request_arrived(now, metadata, upstream, outcome, end_report),
             Event::StreamReceived(received) => self.on_stream_received(now, received),
             Event::ClientDisconnected { id, may_have_run } => {
                 self.on_client_disconnected(now, id, may_have_run);
--- a/src/dispatcher/core/requests.rs
+++ b/src/dispatcher/core/requests.rs
@@ -28,6 +28,7 @@
         metadata: RequestMetadata,
         upstream: UpstreamRequest,
         outcome: oneshot::Sender<Outcome>,
+        end_report: Option<oneshot::Sender<bool>>,
     ) {
         let client_request_id = &upstream.client_request_id;
         let idempotency = self.settings.idempotency_of(metadata.class);
@@ -39,6 +40,9 @@
                 rejection.reason,
                 open_requests,
             );
+            if let Some(end_report) = end_report {
+                let _ = end_report.send(false);
+            }
             let _ = outcome.send(rejection.outcome);
             return;
         }
@@ -50,7 +54,8 @@
         if let Some(recorder) = &mut self.recorder {
             recorder.record_arrival(now, &metadata);
         }
-        let request = Request::new(now, &metadata, upstream, idempotency, outcome);
+        let mut request = Request::new(now, &metadata, upstream, idempotency, outcome);
+        request.end_reports.extend(end_report);
         self.requests.insert(metadata.id, request);
         self.drive_router(now, api::Event::RequestArrived(metadata));
     }
@@ -105,7 +110,7 @@
         &mut self,
         now: Time,
         id: RequestId,
-        may_have_run_reply: Option<oneshot::Sender<bool>>,
+        end_report: Option<oneshot::Sender<bool>>,
     ) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
@@ -113,7 +118,7 @@
         if is_enabled(Variant::ClientGone) && request.is_waiting() {
             return;
         }
-        request.may_have_run_reply = may_have_run_reply;
+        request.end_reports.extend(end_report);
         // A started stream needs no cancellation: the frontend drops its receiver, which ends it at its endpoint.
         if request.close() {
             request.outcome = None;
--- a/src/dispatcher/handle.rs
+++ b/src/dispatcher/handle.rs
@@ -61,6 +61,17 @@
         &self,
         metadata: RequestMetadata,
         upstream: UpstreamRequest,
+    ) -> (PendingRequest, oneshot::Receiver<Outcome>) {
+        self.submit_with_report(metadata, upstream, None).await
+    }
+
+    /// Does the same as [`DispatcherHandle::submit`]. `end_report` receives whether the request may have run, once it has
+    /// left the core's table or was rejected.
+    pub async fn submit_with_report(
+        &self,
+        metadata: RequestMetadata,
+        upstream: UpstreamRequest,
+        end_report: Option<oneshot::Sender<bool>>,
     ) -> (PendingRequest, oneshot::Receiver<Outcome>) {
         let id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
         let (outcome_sender, outcome) = oneshot::channel();
@@ -74,6 +85,7 @@
             metadata: RequestMetadata { id, ..metadata },
             upstream,
             outcome: outcome_sender,
+            end_report,
         };
         let _ = self.events.send(event).await;
         (pending, outcome)
--- a/src/dispatcher/messages.rs
+++ b/src/dispatcher/messages.rs
@@ -116,6 +116,9 @@
         upstream: UpstreamRequest,
         /// Receives the final outcome.
         outcome: oneshot::Sender<Outcome>,
+        /// Receives whether the request may have run, once it has left the table or was rejected; `None` if nobody waits for
+        /// it. A rejected request did not run, even if another one with its client request id did.
+        end_report: Option<oneshot::Sender<bool>>,
     },
     /// A stream that another process of this dispatcher started continues here. It becomes a request in the table, with
     /// the stream as attempt 0.
--- a/src/dispatcher/request.rs
+++ b/src/dispatcher/request.rs
@@ -76,8 +76,8 @@
     pub reservation: Reservation,
     /// An attempt other than a prefill has ended, and nothing proves that it never ran.
     pub may_have_run: bool,
-    /// Receives `may_have_run` when the request leaves the table.
-    pub may_have_run_reply: Option<oneshot::Sender<bool>>,
+    /// Receive `may_have_run` when the request leaves the table.
+    pub end_reports: Vec<oneshot::Sender<bool>>,
     /// Its stream was started by another process of this dispatcher and received through stream migration.
     pub is_received: bool,
     phase: Phase,
@@ -108,7 +108,7 @@
             attempts: Vec::new(),
             reservation: Reservation::default(),
             may_have_run: false,
-            may_have_run_reply: None,
+            end_reports: Vec::new(),
             is_received: false,
             phase: Phase::Waiting,
         }
@@ -130,7 +130,7 @@
             attempts: vec![Attempt::new(now, endpoint, None)],
             reservation: Reservation::default(),
             may_have_run: false,
-            may_have_run_reply: None,
+            end_reports: Vec::new(),
             is_received: true,
             phase: Phase::Streaming { attempt: 0 },
         }
--- a/src/dispatcher/request_table.rs
+++ b/src/dispatcher/request_table.rs
@@ -109,7 +109,7 @@
             .collect()
     }
 
-    /// Removes a request if it is finished, and answers its `may_have_run_reply`.
+    /// Removes a request if it is finished, and sends its end reports.
     pub(super) fn remove_if_finished(&mut self, now: Time, id: RequestId) {
         if !self.requests.get(&id).is_some_and(Request::is_finished) {
             return;
@@ -121,8 +121,8 @@
         if request.may_have_run {
             self.remember_id(now, request.upstream.client_request_id.clone());
         }
-        if let Some(reply) = request.may_have_run_reply {
-            let _ = reply.send(request.may_have_run);
+        for report in request.end_reports {
+            let _ = report.send(request.may_have_run);
         }
     }
 }
--- a/src/frontend/websocket/idempotency_cache.rs
+++ b/src/frontend/websocket/idempotency_cache.rs
@@ -1,6 +1,7 @@
 //! Caches the outcomes of recent requests by client request id, so that a request submitted again does not run again.
 //!
-//! The cache is bounded in entries and in bytes of text. Each dispatcher has its own.
+//! The cache is bounded in entries and in bytes of text. Each process has its own; which process may begin a request at
+//! all is decided by [`crate::upgrade::request_claims`].
 
 use super::session_activity::AttachedSession;
 use crate::config::SessionConfig;
@@ -26,6 +27,8 @@
 pub(super) enum FinalOutcome {
     /// Served, with the response text if that was short enough to be cached.
     Served(Option<Arc<str>>),
+    /// Served by another process of this dispatcher, so that the text is not known here.
+    ServedElsewhere,
     /// Shed; the request may be submitted again from this time on.
     Shed { retry_at: Instant },
     /// Failed, with the reason that the client receives.
--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! A request outlives the socket that submitted it for a short time, so that a reconnect does not start it again. If
 //! the same id is submitted again, the first deadline stays in force and the response comes from the `idempotency_cache`.
-//! That cache is bounded, and each dispatcher has its own. `docs/websocket.md` describes the messages.
+//! That cache is bounded, and each process has its own; a request that another process of the dispatcher has, or had, is
+//! not begun here (`request_ownership`). `docs/websocket.md` describes the messages.
 //!
 //! [`SessionFrontend`] owns the state that sessions share; `session` runs one socket, and `request_task` one request.
 
 mod idempotency_cache;
 mod messages;
+mod request_ownership;
 mod request_task;
 mod session;
 mod session_activity;
@@ -21,6 +23,7 @@
 use crate::frontend::memory_budget::BodyMemoryBudget;
 use crate::frontend::ShutdownPhase;
 use crate::identity::RequestIdGenerator;
+use crate::upgrade::request_claims::RequestClaims;
 use axum::extract::ws::WebSocketUpgrade;
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -59,17 +62,21 @@
     next_session_number: Arc<AtomicU64>,
     /// Generates the ids under which endpoints know requests.
     request_ids: RequestIdGenerator,
+    /// The requests that each process of this dispatcher has.
+    claims: RequestClaims,
     shutdown: watch::Receiver<ShutdownPhase>,
     log: Logger,
 }
 
 impl SessionFrontend {
-    /// Creates the shared state. `request_ids` generates the ids under which endpoints know requests.
+    /// Creates the shared state. `request_ids` generates the ids under which endpoints know requests; `claims` tells
+    /// which requests other processes of this dispatcher have.
     pub fn new(
         dispatcher: DispatcherHandle,
         config: Arc<SessionConfig>,
         body_memory: BodyMemoryBudget,
         request_ids: RequestIdGenerator,
+        claims: RequestClaims,
         shutdown: watch::Receiver<ShutdownPhase>,
         log: Logger,
     ) -> Self {
@@ -82,6 +89,7 @@
             sessions: Arc::default(),
             next_session_number: Arc::default(),
             request_ids,
+            claims,
             shutdown,
             log,
         }
--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -5,10 +5,12 @@
 
 use super::idempotency_cache::{FinalOutcome, RequestKey, RequestState};
 use super::messages::{take_complete_utf8, ServerMessage};
+use super::request_ownership::Ownership;
 use super::session_activity::AttachedSession;
 use super::SessionFrontend;
 use crate::dispatcher::{Outcome, PendingRequest, StreamChunk, UpstreamRequest};
 use crate::routing::api::{Idempotency, RequestClass, RequestMetadata};
+use crate::upgrade::request_claims::{ClaimEnd, RequestClaim};
 use axum::extract::ws::Message;
 use bytes::Bytes;
 use slog::debug;
@@ -40,6 +42,8 @@
     /// Set while no socket is attached: the time until which a session may attach.
     pub(super) reattach_until: Option<Instant>,
     pub(super) response: CacheableText,
+    /// Receives whether the last submission to the dispatcher may have run; `None` before the first one.
+    pub(super) end_report: Option<oneshot::Receiver<bool>>,
 }
 
 /// The text of a response so far, as long as it is short enough to be cached.
@@ -98,6 +102,11 @@
     /// Runs the request and reports its outcome. If the client has disconnected and reconnected meanwhile, the request
     /// is submitted to the dispatcher again.
     pub(super) async fn run(mut self) {
+        let claim = match self.claim().await {
+            Ownership::Owned(claim) => claim,
+            Ownership::Final(outcome) => return self.finish(outcome).await,
+            Ownership::Abandoned => return,
+        };
         let is_idempotent = self.class.idempotency == Idempotency::Idempotent;
         let outcome = loop {
             match self.run_submission().await {
@@ -109,19 +118,33 @@
                 SubmissionResult::Abandoned { .. } => {}
             }
             if !self.reattach_or_abandon() {
-                return;
+                return claim.end(ClaimEnd::Released);
             }
             if Instant::now() >= self.deadline {
                 break FinalOutcome::Failed("its deadline has passed");
             }
         };
+        match &outcome {
+            FinalOutcome::Served(_) | FinalOutcome::ServedElsewhere => claim.end(ClaimEnd::Served),
+            FinalOutcome::Failed(_) => claim.end(ClaimEnd::MayHaveRun),
+            FinalOutcome::Shed { .. } => self.end_shed(claim),
+        }
         self.finish(outcome).await;
     }
 
+    /// Ends the claim of a request that was shed as soon as the core knows whether it may have run all the same.
+    fn end_shed(&mut self, claim: RequestClaim) {
+        match self.end_report.take() {
+            Some(end_report) => claim.end_when_reported(end_report),
+            // It was never submitted.
+            None => claim.end(ClaimEnd::Released),
+        }
+    }
+
     /// Attaches to a session that has submitted the request again. Without one, marks the request as abandoned and
     /// returns false. Both happen under the cache's lock, so that a session that submits the request now finds either
     /// this task or the abandoned request.
-    fn reattach_or_abandon(&mut self) -> bool {
+    pub(super) fn reattach_or_abandon(&mut self) -> bool {
         let mut cache = self.frontend.cache();
         match self.attachments.try_recv() {
             Ok(session) => {
@@ -140,6 +163,10 @@
         let id = &self.key.client_request_id;
         let final_message = match &outcome {
             FinalOutcome::Served(_) => ServerMessage::Served { id },
+            FinalOutcome::ServedElsewhere => ServerMessage::ServedBefore {
+                id,
+                has_text: false,
+            },
             FinalOutcome::Shed { retry_at } => ServerMessage::Shed {
                 id,
                 retry_after: retry_at.saturating_duration_since(Instant::now()),
@@ -230,7 +257,7 @@
         class == self.class
     }
 
-    async fn submit(&self) -> (PendingRequest, oneshot::Receiver<Outcome>) {
+    async fn submit(&mut self) -> (PendingRequest, oneshot::Receiver<Outcome>) {
         let upstream_id = self.frontend.request_ids.next_id();
         debug!(self.frontend.log, "session request submitted"; "session_request_id" => &self.key.client_request_id,
             "tenant" => self.key.tenant.as_deref(), "client_request_id" => &upstream_id);
@@ -245,9 +272,11 @@
             body: self.body.clone(),
             stream_can_migrate: false,
         };
+        let (report_sender, end_report) = oneshot::channel();
+        self.end_report = Some(end_report);
         self.frontend
             .dispatcher
-            .submit(metadata, upstream_request)
+            .submit_with_report(metadata, upstream_request, Some(report_sender))
             .await
     }
 
@@ -278,7 +307,7 @@
         }
     }
 
-    fn start_reattach_window(&mut self) {
+    pub(super) fn start_reattach_window(&mut self) {
         let reattach_window = Duration::from_millis(self.frontend.config.reattach_window_ms);
         self.reattach_until = Some(Instant::now() + reattach_window);
     }
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -288,6 +288,7 @@
             cancelled,
             reattach_until: None,
             response: CacheableText::default(),
+            end_report: None,
         };
         tokio::spawn(task.run());
         None
@@ -325,10 +326,12 @@
                     reason: "asked too often",
                 }
             }
-            RequestState::Finished(FinalOutcome::Served(None)) => ServerMessage::ServedBefore {
-                id,
-                has_text: false,
-            },
+            RequestState::Finished(FinalOutcome::Served(None) | FinalOutcome::ServedElsewhere) => {
+                ServerMessage::ServedBefore {
+                    id,
+                    has_text: false,
+                }
+            }
             RequestState::Finished(FinalOutcome::Served(Some(text))) => {
                 self.send_cached_response(id, text);
                 return Lookup::ResponseQueued;
--- a/src/process/frontends.rs
+++ b/src/process/frontends.rs
@@ -12,6 +12,7 @@
 use crate::frontend::{health_check, http, listener, websocket, ShutdownPhase};
 use crate::identity::RequestIdGenerator;
 use crate::net::adjustable_semaphore::AdjustableSemaphore;
+use crate::upgrade::request_claims::RequestClaims;
 use slog::Logger;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -25,6 +26,8 @@
     pub sessions: SessionBudget,
     pub request_ids: RequestIdGenerator,
     pub streams: StreamChannels,
+    /// The requests that each process of this dispatcher has.
+    pub request_claims: RequestClaims,
     pub log: Logger,
 }
 
@@ -41,11 +44,13 @@
     fn into_migration_channels(
         self,
         dispatcher: DispatcherHandle,
+        claims: RequestClaims,
         accepts: watch::Receiver<bool>,
     ) -> MigrationChannels {
         let resumer = http::StreamResumer {
             dispatcher,
             attempts: self.received_attempts,
+            claims,
         };
         MigrationChannels {
             migration_sender: self.migration,
@@ -70,13 +75,20 @@
             sessions: session_budget,
             request_ids,
             streams,
+            request_claims,
             log,
         } = inputs;
         let (shutdown_phase, phase) = watch::channel(ShutdownPhase::Serving);
         let (accepts_clients, accepts) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        let routes = http::routes(dispatcher.clone(), limits.body_memory.clone(), log.clone());
-        let streams = streams.into_migration_channels(dispatcher.clone(), accepts);
+        let routes = http::routes(
+            dispatcher.clone(),
+            limits.body_memory.clone(),
+            request_claims.clone(),
+            log.clone(),
+        );
+        let streams =
+            streams.into_migration_channels(dispatcher.clone(), request_claims.clone(), accepts);
         tasks.spawn(listener::serve_with_migration(
             client_listener,
             routes,
@@ -90,6 +102,7 @@
             Arc::new(session_budget.config),
             limits.body_memory,
             request_ids,
+            request_claims,
             phase.clone(),
             log.clone(),
         );
@@ -105,11 +118,7 @@
             });
         }
         if let Some(listener) = agent_listener {
-            tasks.spawn(async move {
-                if let Some(listener) = listener.wait_until_bound(phase.clone()).await {
-                    health_check::serve_agent_checks(listener, dispatcher, phase, log).await;
-                }
-            });
+            tasks.spawn(serve_agent_checks(listener, dispatcher, phase, log));
         }
         Frontends {
             tasks,
@@ -141,3 +150,15 @@
         self.sessions.wait_until_closed().await;
     }
 }
+
+/// Serves agent checks as soon as their address can be bound.
+async fn serve_agent_checks(
+    listener: DeferredListener,
+    dispatcher: DispatcherHandle,
+    phase: watch::Receiver<ShutdownPhase>,
+    log: Logger,
+) {
+    if let Some(listener) = listener.wait_until_bound(phase.clone()).await {
+        health_check::serve_agent_checks(listener, dispatcher, phase, log).await;
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -21,6 +21,7 @@
 use crate::config::{Config, Deployment, LoadedConfig};
 use crate::dispatcher::Clock;
 use crate::identity::ProcessIdentity;
+use crate::upgrade::request_claims::RequestClaims;
 use crate::upgrade::{PeerProcesses, ResourceLimits, UpgradeCoordinator};
 use crate::variants::{is_enabled, Variant};
 use core_startup::CoreStartup;
@@ -102,6 +103,7 @@
         limits: limits.clone(),
         management: listeners.auxiliary.management,
     };
+    let request_claims = startup.request_claims();
     let RunningTasks {
         mut critical,
         dispatcher,
@@ -110,15 +112,14 @@
         streams,
     } = tasks::spawn(&mut startup, core, inputs);
     info!(log, "starting"; "stage" => "tasks started", "tasks" => critical.count());
-    let endpoint_sockets = startup.budgets.sockets.endpoints;
-    let max_open_requests = startup.deployment.limits.max_open_requests;
     let client_connections = limits.clients.clone();
     let inputs = FrontendInputs {
         dispatcher: dispatcher.clone(),
         limits,
-        sessions: startup.budgets.sessions,
+        sessions: startup.budgets.sessions.clone(),
         request_ids: startup.identity.request_ids(),
         streams,
+        request_claims,
         log: log.clone(),
     };
     let frontends = Frontends::start(
@@ -127,10 +128,7 @@
         listeners.auxiliary.sessions,
         listeners.auxiliary.agent_check,
     );
-    info!(log, "serving"; "name" => startup.config.name, "listen" => startup.config.listen,
-        "max_open_requests" => max_open_requests.min(endpoint_sockets),
-        "max_client_connections" => client_connections.capacity(),
-        "max_endpoint_connections" => endpoint_sockets);
+    startup.log_serving(client_connections.capacity());
     let process = Process {
         dispatcher,
         frontends,
@@ -192,6 +190,23 @@
         Ok((startup, Listeners { clients, auxiliary }))
     }
 
+    /// Returns the claims of request ids, which this process shares with the others of its dispatcher.
+    fn request_claims(&self) -> RequestClaims {
+        match &self.upgrade {
+            Some(coordinator) => coordinator.request_claims(),
+            None => RequestClaims::disabled(),
+        }
+    }
+
+    fn log_serving(&self, max_client_connections: usize) {
+        let endpoint_sockets = self.budgets.sockets.endpoints;
+        let max_open_requests = self.deployment.limits.max_open_requests;
+        info!(self.log, "serving"; "name" => &self.config.name, "listen" => &self.config.listen,
+            "max_open_requests" => max_open_requests.min(endpoint_sockets),
+            "max_client_connections" => max_client_connections,
+            "max_endpoint_connections" => endpoint_sockets);
+    }
+
     /// Creates the limits that this process shares with others. A successor begins with the share that its predecessor
     /// has left free.
     fn shared_limits(&self, has_sessions: bool) -> SharedLimits {
--- a/src/upgrade/announcements.rs
+++ b/src/upgrade/announcements.rs
@@ -165,7 +165,7 @@
                         live_process_ids.extend(name.process_id);
                     }
                 }
-                None => {}
+                Some(SharedFile::Claims { .. }) | None => {}
             }
         }
         for file in temporary_bans {
--- a/src/upgrade/coordinator.rs
+++ b/src/upgrade/coordinator.rs
@@ -7,6 +7,7 @@
 use super::announcements::{PeerProcesses, ProcessAnnouncements};
 use super::ban_file::{self, BanFile, BanFileError};
 use super::process_announcement::{ProcessAnnouncement, ProcessState};
+use super::request_claims::RequestClaims;
 use super::resource_shares;
 use super::shared_folder::SharedFolder;
 use crate::dispatcher::bans::BanRecords;
@@ -40,6 +41,7 @@
     folder: SharedFolder,
     announcements: ProcessAnnouncements,
     ban_file: BanFile,
+    request_claims: RequestClaims,
     last_warning_at: Option<Instant>,
     log: Logger,
 }
@@ -57,8 +59,12 @@
     ) -> io::Result<UpgradeCoordinator> {
         let folder = SharedFolder::new(folder, name);
         let announcements = ProcessAnnouncements::publish(folder.clone(), now)?;
+        let started_at = announcements.own().started_at;
+        let request_claims = RequestClaims::open(folder.clone(), started_at, log.clone());
+        request_claims.set_peers(announcements.others());
         Ok(UpgradeCoordinator {
-            ban_file: BanFile::new(&folder, announcements.own().started_at),
+            ban_file: BanFile::new(&folder, started_at),
+            request_claims,
             announcements,
             folder,
             last_warning_at: None,
@@ -71,6 +77,11 @@
         self.announcements.peer_processes()
     }
 
+    /// Returns the claims of request ids, which this process shares with the others.
+    pub fn request_claims(&self) -> RequestClaims {
+        self.request_claims.clone()
+    }
+
     /// Returns a function from a process's start time, in Unix microseconds, to the path of the socket on which that
     /// process receives streams.
     pub fn stream_socket_path(&self) -> impl Fn(u64) -> PathBuf + use<> {
@@ -116,6 +127,7 @@
         if let Err(error) = self.announcements.scan() {
             self.warn_of_failure("scan announcements", &error);
         }
+        self.request_claims.set_peers(self.announcements.others());
     }
 
     /// Sets the limits to this process's target share, and announces that share, or a larger one while more is still in
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -10,6 +10,7 @@
 //! * `start_time_claim` claims the start time that identifies this process among them;
 //! * [`resource_shares`] divides the dispatcher's limits among its processes;
 //! * `ban_file` shares the bans that operators have set;
+//! * [`request_claims`] decides which process owns a client's request id;
 //! * `coordinator` owns the state of announcement, share and bans, and keeps it up to date while the process runs;
 //! * [`stream_migration`] moves live streams to another process.
 
@@ -18,6 +19,7 @@
 mod coordinator;
 mod inherited_socket;
 mod process_announcement;
+pub mod request_claims;
 pub mod resource_shares;
 mod shared_folder;
 mod start_time_claim;
--- a/src/upgrade/shared_folder.rs
+++ b/src/upgrade/shared_folder.rs
@@ -14,6 +14,8 @@
 const START_TIME_CLAIM_SUFFIX: &str = ".new";
 /// The suffix of a ban file that is being written.
 const TEMPORARY_BANS_SUFFIX: &str = ".bans-new";
+/// The suffix of a file with the claims of request ids.
+const CLAIMS_SUFFIX: &str = ".claims";
 
 /// Maximum length of the path of a Unix socket, without the terminating zero.
 const MAX_SOCKET_PATH_BYTES: usize = 107;
@@ -27,7 +29,7 @@
     handle: Option<Arc<File>>,
 }
 
-/// A file that another process of the dispatcher may have left in the folder.
+/// A file of the dispatcher's processes in the folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SharedFile {
     /// The announcement of a process.
@@ -37,6 +39,11 @@
         /// The id of that process; `None` if the name does not contain a valid one.
         process_id: Option<u32>,
     },
+    /// A generation of the file with the claims of request ids.
+    Claims {
+        /// Its number.
+        generation: u64,
+    },
 }
 
 /// What the name of an announcement file says about its process. A part that can't be parsed is `None`.
@@ -115,12 +122,17 @@
         ))
     }
 
+    /// Returns the path of a generation of the file with the claims of request ids, which all processes share.
+    pub(super) fn claims(&self, generation: u64) -> PathBuf {
+        self.file(&format!("-{generation:020}{CLAIMS_SUFFIX}"))
+    }
+
     fn file(&self, rest: &str) -> PathBuf {
         self.path.join(format!("{}{rest}", self.prefix))
     }
 
-    /// Tells what the file at this path is; `None` if it is not an announcement or temporary ban file of this
-    /// dispatcher.
+    /// Tells what the file at this path is; `None` if it is not an announcement, temporary ban file or claims file of
+    /// this dispatcher.
     pub(super) fn classify(&self, path: &Path) -> Option<SharedFile> {
         let file_name = path.file_name()?.to_str()?;
         let rest = file_name.strip_prefix(&self.prefix)?;
@@ -130,6 +142,10 @@
                 process_id: last_field.parse().ok(),
             });
         }
+        if let Some(name) = rest.strip_suffix(CLAIMS_SUFFIX) {
+            let generation = name.strip_prefix('-')?.parse().ok()?;
+            return Some(SharedFile::Claims { generation });
+        }
         let name = rest.strip_suffix(ANNOUNCEMENT_SUFFIX)?;
         Some(SharedFile::Announcement(AnnouncementName::parse(name)))
     }
--- a/src/upgrade/start_time_claim.rs
+++ b/src/upgrade/start_time_claim.rs
@@ -110,7 +110,17 @@
 
 /// Returns when the youngest live process started, in Unix microseconds; `None` if no process is alive.
 fn youngest_live_process(folder: &SharedFolder) -> io::Result<Option<u64>> {
-    let mut youngest = None;
+    Ok(live_processes(folder)?.into_iter().max())
+}
+
+/// Returns whether the process that has announced this start time (Unix microseconds) is alive.
+pub(super) fn is_alive(folder: &SharedFolder, started_at: u64) -> io::Result<bool> {
+    Ok(live_processes(folder)?.contains(&started_at))
+}
+
+/// Returns when the live processes started, in Unix microseconds.
+fn live_processes(folder: &SharedFolder) -> io::Result<Vec<u64>> {
+    let mut live_processes = Vec::new();
     for entry in fs::read_dir(folder.path())? {
         let path = entry?.path();
         let Some(SharedFile::Announcement(name)) = folder.classify(&path) else {
@@ -121,10 +131,10 @@
         };
         let is_alive = File::open(&path).is_ok_and(|file| file.try_lock_shared().is_err());
         if is_alive {
-            youngest = youngest.max(Some(started_at));
+            live_processes.push(started_at);
         }
     }
-    Ok(youngest)
+    Ok(live_processes)
 }
 
 #[cfg(test)]
--- a/tests/dispatcher_harness/mod.rs
+++ b/tests/dispatcher_harness/mod.rs
@@ -86,6 +86,7 @@
         metadata,
         upstream,
         outcome: sender,
+        end_report: None,
     };
     (event, outcome)
 }
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -862,6 +862,16 @@
         all
     }
 
+    /// Masks words of 16 hexadecimal digits: start times in the file of claims.
+    fn mask_hexadecimal_numbers(text: &str) -> String {
+        let is_number = |word: &str| word.len() == 16 && u64::from_str_radix(word, 16).is_ok();
+        let words: Vec<&str> = text
+            .split(' ')
+            .map(|word| if is_number(word) { "#" } else { word })
+            .collect();
+        words.join(" ")
+    }
+
     /// The names and contents of the files that processes of two versions share during an upgrade.
     #[tokio::test]
     #[expect(clippy::too_many_lines, reason = "one scenario from start to end")]
@@ -912,10 +922,11 @@
                 let name = path.file_name().unwrap().to_str().unwrap();
                 let name = name.replace(&process_id, "-#.notice");
                 let content = std::fs::read_to_string(&path).unwrap_or_else(|_| "a socket".into());
+                let content = mask_hexadecimal_numbers(content.trim());
                 all.push(format!(
                     "{}: {}\n",
                     mask_numbers(&name),
-                    mask_numbers(content.trim_end())
+                    mask_numbers(&content)
                 ));
             }
             all.sort();
--- a/tests/http_frontend.rs
+++ b/tests/http_frontend.rs
@@ -7,6 +7,7 @@
 use quartzhall::frontend::memory_budget::BodyMemoryBudget;
 use quartzhall::frontend::{http, listener, ShutdownPhase};
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
+use quartzhall::upgrade::request_claims::RequestClaims;
 use slog::{o, Discard, Logger};
 use std::sync::Arc;
 use std::time::Duration;
@@ -330,7 +331,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (_shutdown_sender, shutdown) = watch::channel(ShutdownPhase::Serving);
-    let routes = http::routes(dispatcher_handle, BodyMemoryBudget::new(1_000), log.clone());
+    let routes = http::routes(
+        dispatcher_handle,
+        BodyMemoryBudget::new(1_000),
+        RequestClaims::disabled(),
+        log.clone(),
+    );
     tokio::spawn(listener::serve(
         listener,
         routes,
--- a/tests/received_streams.rs
+++ b/tests/received_streams.rs
@@ -3,6 +3,7 @@
 
 mod testbed;
 
+use axum::Router;
 use bytes::Bytes;
 use miniserde::json;
 use quartzhall::backend::{self, StreamMigration};
@@ -14,6 +15,7 @@
 use quartzhall::frontend::{http, ShutdownPhase};
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
 use quartzhall::net::message_framing::ChunkedDecoder;
+use quartzhall::upgrade::request_claims::RequestClaims;
 use quartzhall::upgrade::stream_migration::{
     self, migration_signal, ClientState, ConnectionState, MigratingStream, MigrationHandle,
     ReceivedStream, ReceivedUpstream, ReceiverProcess, UpstreamState,
@@ -48,6 +50,15 @@
     listener_task: JoinHandle<()>,
 }
 
+fn routes(dispatcher: &DispatcherHandle, log: &Logger) -> Router {
+    http::routes(
+        dispatcher.clone(),
+        BodyMemoryBudget::new(1_000),
+        RequestClaims::disabled(),
+        log.clone(),
+    )
+}
+
 impl ReceivingProcess {
     async fn start() -> ReceivingProcess {
         let log = Logger::root(Discard, o!());
@@ -85,15 +96,15 @@
             resumer: Some(StreamResumer {
                 dispatcher: dispatcher.clone(),
                 attempts,
+                claims: RequestClaims::disabled(),
             }),
             // The listener does not accept new connections, as in a process that is not serving yet.
             accepts: watch::channel(false).1,
         };
         let clients = AdjustableSemaphore::new(MAX_CONNECTIONS);
-        let body_memory = BodyMemoryBudget::new(1_000);
         let listener_task = tokio::spawn(listener::serve_with_migration(
             TcpListener::bind("127.0.0.1:0").await.unwrap(),
-            http::routes(dispatcher.clone(), body_memory, log.clone()),
+            routes(&dispatcher, &log),
             clients.clone(),
             phase,
             migration_channels,
--- a/tests/session_request_ids.rs
+++ b/tests/session_request_ids.rs
@@ -4,79 +4,37 @@
 //! dispatcher have given both the same id (review/6).
 
 mod free_address;
+#[path = "upgrade/sessions.rs"]
+mod sessions;
 #[path = "upgrade/setup.rs"]
 mod setup;
 mod testbed;
 
-use free_address::free_address;
-use setup::{Process, UpgradeSetup};
+use sessions::SessionSetup;
 use std::collections::BTreeSet;
-use std::time::Duration;
 use testbed::{Behavior, Fleet, SessionClient, STREAM_EVENTS};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// The number of requests of each terminal.
 const REQUESTS: usize = 3;
 
-/// Processes with one configuration, whose session listener has this address.
-struct SessionSetup {
-    upgrade: UpgradeSetup,
-    session_address: String,
-}
-
-impl SessionSetup {
-    async fn new(test_name: &str) -> SessionSetup {
-        let mut upgrade = UpgradeSetup::new(test_name).await;
-        let session_address = free_address();
-        let file = upgrade.folder.join("websocket.json");
-        std::fs::write(&file, format!(r#"{{"listen":"{session_address}"}}"#)).unwrap();
-        upgrade.arguments = vec!["--websocket".into(), file.to_str().unwrap().into()];
-        SessionSetup {
-            upgrade,
-            session_address,
-        }
-    }
-
-    /// Opens a session with the process that listens, as soon as one does.
-    async fn connect(&self) -> SessionClient {
-        let connect = async {
-            loop {
-                if let Some(client) = SessionClient::try_connect(&self.session_address).await {
-                    return client;
-                }
-                tokio::task::yield_now().await;
-            }
-        };
-        tokio::time::timeout(START_TIMEOUT, connect)
-            .await
-            .expect("a session")
-    }
-
-    /// Sends requests of a terminal over a new session until all are served. Returns the ids under which replicas have
-    /// known them.
-    async fn serve_requests(&self, terminal: &str) -> BTreeSet<String> {
-        let earlier_attempts = self.upgrade.attempt_count();
-        let mut client = self.connect().await;
-        for number in 0..REQUESTS {
-            let id = format!("{terminal}-{number}");
-            client.send_request(&id, "return-request", 9000).await;
-            let (kind, text) = client.receive_response(&id).await;
-            assert_eq!((kind.as_str(), text), ("served", STREAM_EVENTS.concat()));
-        }
-        let activity = self.upgrade.fleet.activity.lock().unwrap();
-        let attempts = &activity.attempts[earlier_attempts..];
-        let ids: BTreeSet<String> = attempts.iter().map(|(_, id)| id.clone()).collect();
-        assert_eq!(ids.len(), REQUESTS, "{attempts:?}");
-        ids
-    }
-
-    /// Kills a process, as a crash does, and starts another one with the same configuration.
-    async fn restart(&self, process: Process) -> Process {
-        drop(process);
-        self.upgrade.start_process().await
+/// Sends requests of a terminal over a new session until all are served. Returns the ids under which replicas have
+/// known them.
+async fn serve_requests(setup: &SessionSetup, terminal: &str) -> BTreeSet<String> {
+    let earlier_attempts = setup.upgrade.attempt_count();
+    let mut client = setup.connect().await;
+    for number in 0..REQUESTS {
+        let id = format!("{terminal}-{number}");
+        client.send_request(&id, "return-request", 9000).await;
+        let (kind, text) = client.receive_response(&id).await;
+        assert_eq!((kind.as_str(), text), ("served", STREAM_EVENTS.concat()));
     }
+    let activity = setup.upgrade.fleet.activity.lock().unwrap();
+    let attempts = &activity.attempts[earlier_attempts..];
+    let ids: BTreeSet<String> = attempts.iter().map(|(_, id)| id.clone()).collect();
+    assert_eq!(ids.len(), REQUESTS, "{attempts:?}");
+    ids
 }
 
 /// The predecessor, the successor and the process after a crash have one configuration, with one seed, and each
@@ -85,15 +43,15 @@
 async fn processes_of_one_configuration_give_no_id_to_two_requests() {
     let setup = SessionSetup::new("session-ids").await;
     let predecessor = setup.upgrade.start_process().await;
-    let mut ids = setup.serve_requests("a").await;
+    let mut ids = serve_requests(&setup, "a").await;
     let successor = setup.upgrade.start_process().await;
     predecessor.send_sigterm();
     // Up to its end the predecessor may still accept the session.
     assert_eq!(predecessor.exit_code().await, Some(0));
-    ids.extend(setup.serve_requests("b").await);
+    ids.extend(serve_requests(&setup, "b").await);
     assert_eq!(ids.len(), 2 * REQUESTS, "after an upgrade: {ids:?}");
     let _restarted = setup.restart(successor).await;
-    ids.extend(setup.serve_requests("c").await);
+    ids.extend(serve_requests(&setup, "c").await);
     assert_eq!(ids.len(), 3 * REQUESTS, "after a crash: {ids:?}");
 }
 
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -16,6 +16,7 @@
 use quartzhall::frontend::{admin, health_check, http, listener, websocket, ShutdownPhase};
 use quartzhall::identity::ProcessIdentity;
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
+use quartzhall::upgrade::request_claims::RequestClaims;
 use quartzhall::{backend, discovery};
 use slog::{o, Discard, Logger};
 use std::sync::{Arc, Mutex};
@@ -144,6 +145,7 @@
             session_config,
             memory_budget.clone(),
             ProcessIdentity::draw(1).unwrap().request_ids(),
+            RequestClaims::disabled(),
             shutdown_phase.clone(),
             log.clone(),
         );
@@ -163,7 +165,12 @@
             log.clone(),
         ));
         let (listener, http_address) = bind().await;
-        let routes = http::routes(dispatcher.clone(), memory_budget, log.clone());
+        let routes = http::routes(
+            dispatcher.clone(),
+            memory_budget,
+            RequestClaims::disabled(),
+            log.clone(),
+        );
         let http_server = listener::serve(
             listener,
             routes,
