--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -48,6 +48,9 @@
 const SESSION_EVICTION_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The size of a socket's read buffer. A larger message takes more memory, but only while it is read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// What a socket's write buffer may hold besides one message: the responses to pings of a client that reads nothing. Any
+/// more are dropped, as RFC 6455 allows.
+const MAX_WRITE_BUFFER_BYTES: usize = 512 * 1024;
 
 /// The state that all sessions share. Clones share it.
 #[derive(Clone)]
@@ -167,7 +170,8 @@
     let upgrade = upgrade
         .max_message_size(max_message_bytes)
         .max_frame_size(max_message_bytes)
-        .read_buffer_size(READ_BUFFER_BYTES);
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .max_write_buffer_size(MAX_WRITE_BUFFER_BYTES);
     upgrade.on_upgrade(move |socket| async move {
         let activity = SessionActivity::new(frontend.config.max_requests);
         let number = frontend.allocate_session_number();
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -29,6 +29,8 @@
 const MAX_QUEUED_ATTACHMENTS: usize = 4;
 /// The retry delay for a request beyond the session's limit of requests in flight, or beyond the memory for bodies.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The most steps of a session, such as messages that it reads or sends, before other tasks have a turn.
+const MAX_STEPS_PER_TURN: u32 = 16;
 /// Time for the closing handshake.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -39,12 +41,20 @@
 enum SessionStep {
     Continue,
     Send(Message),
+    /// Send both messages of a cached response.
+    SendCached(CachedResponse),
     /// Close with this code and this reason.
     Close(CloseReason),
     /// The client has disconnected or timed out, so that there is no closing handshake.
     Disconnect,
 }
 
+/// A response from the cache, as it is sent again.
+struct CachedResponse {
+    event: Message,
+    final_message: Message,
+}
+
 /// One session, which lasts as long as its socket.
 pub(super) struct Session {
     frontend: SessionFrontend,
@@ -85,7 +95,14 @@
         let ping_interval = Duration::from_millis(self.frontend.config.ping_interval_ms);
         let mut pings = interval_at(self.last_received_at + ping_interval, ping_interval);
         let mut shutdown = self.frontend.shutdown.clone();
+        let mut steps_of_turn = 0;
         loop {
+            // What the client has sent at once may keep this task ready for long.
+            steps_of_turn += 1;
+            if steps_of_turn > MAX_STEPS_PER_TURN {
+                tokio::task::yield_now().await;
+                steps_of_turn = 0;
+            }
             let step = if self.is_shutting_down && self.is_idle() {
                 self.close_or_read((close_code::AWAY, "the dispatcher ends"))
                     .await
@@ -99,6 +116,15 @@
                         return;
                     }
                 }
+                // Nothing more is read before the client has taken both, so that no more than one response waits.
+                SessionStep::SendCached(CachedResponse {
+                    event,
+                    final_message,
+                }) => {
+                    if !(self.send(event).await && self.send(final_message).await) {
+                        return;
+                    }
+                }
                 SessionStep::Close(reason) => return self.close(reason).await,
                 SessionStep::Disconnect => return,
             }
@@ -178,10 +204,7 @@
                 self.activity.on_message(self.last_received_at);
                 self.cancel_senders
                     .retain(|_, cancel_sender| !cancel_sender.is_closed());
-                match self.on_text(&text) {
-                    Some(response) => SessionStep::Send(response),
-                    None => SessionStep::Continue,
-                }
+                self.on_text(&text)
             }
             Some(Err(error)) => SessionStep::Close(close_reason(&*error.into_inner())),
         }
@@ -212,8 +235,8 @@
         let _ = timeout(CLOSE_TIMEOUT, handshake).await;
     }
 
-    /// Handles a client message. Returns the response if it is available at once.
-    fn on_text(&mut self, text: &str) -> Option<Message> {
+    /// Handles a client message. The returned step sends the response if it is available at once.
+    fn on_text(&mut self, text: &str) -> SessionStep {
         let deployment = self.frontend.dispatcher.deployment();
         match parse(text, &deployment) {
             Ok(ClientMessage::Request(request)) => self.on_request(request, &deployment),
@@ -221,7 +244,7 @@
                 if let Some(cancel_sender) = self.cancel_senders.remove(&id) {
                     let _ = cancel_sender.try_send(());
                 }
-                None
+                SessionStep::Continue
             }
             Err(InvalidMessage { id, reason }) => {
                 let reason = &reason.to_string();
@@ -229,13 +252,13 @@
                     Some(id) => ServerMessage::Failed { id, reason },
                     None => ServerMessage::Error { id: None, reason },
                 };
-                Some(response.to_message())
+                SessionStep::Send(response.to_message())
             }
         }
     }
 
     /// Answers a request from the cache, or starts its task. The cache stays locked from the lookup to the insertion.
-    fn on_request(&mut self, request: ClientRequest, deployment: &Deployment) -> Option<Message> {
+    fn on_request(&mut self, request: ClientRequest, deployment: &Deployment) -> SessionStep {
         let ClientRequest { id, metadata, body } = request;
         let key = RequestKey {
             tenant: metadata
@@ -252,10 +275,10 @@
             Lookup::Moved { cancel_sender } => {
                 self.cancel_senders
                     .insert(key.client_request_id, cancel_sender);
-                return None;
+                return SessionStep::Continue;
             }
-            Lookup::ResponseQueued => return None,
-            Lookup::Answered(response) => return Some(response),
+            Lookup::Answered(response) => return SessionStep::Send(response),
+            Lookup::Cached(response) => return SessionStep::SendCached(response),
         };
         // A request over a limit is not started, so that the same id may be submitted again.
         let open_request = self.activity.try_open_request();
@@ -265,7 +288,7 @@
                 id: &key.client_request_id,
                 retry_after: LIMIT_RETRY_AFTER,
             };
-            return Some(shed.to_message());
+            return SessionStep::Send(shed.to_message());
         };
         let (attachment_sender, attachments) = mpsc::channel(MAX_QUEUED_ATTACHMENTS);
         let (cancel_sender, cancelled) = mpsc::channel(1);
@@ -291,7 +314,7 @@
             end_report: None,
         };
         tokio::spawn(task.run());
-        None
+        SessionStep::Continue
     }
 
     /// Returns what a task needs to send the messages of this request to the session.
@@ -333,8 +356,10 @@
                 }
             }
             RequestState::Finished(FinalOutcome::Served(Some(text))) => {
-                self.send_cached_response(id, text);
-                return Lookup::ResponseQueued;
+                return Lookup::Cached(CachedResponse {
+                    event: ServerMessage::Event { id, data: text }.to_message(),
+                    final_message: ServerMessage::ServedBefore { id, has_text: true }.to_message(),
+                });
             }
             RequestState::Finished(FinalOutcome::Failed(reason)) => {
                 ServerMessage::Failed { id, reason }
@@ -355,17 +380,6 @@
         };
         Lookup::Answered(response.to_message())
     }
-
-    /// Queues the two messages of a cached response without blocking the session.
-    fn send_cached_response(&self, id: &str, text: &str) {
-        let event = ServerMessage::Event { id, data: text }.to_message();
-        let served = ServerMessage::ServedBefore { id, has_text: true }.to_message();
-        let session = self.attach(self.activity.open_request());
-        tokio::spawn(async move {
-            let _ = session.send(event).await;
-            let _ = session.send(served).await;
-        });
-    }
 }
 
 /// What the cache knows about a request that is submitted.
@@ -376,10 +390,10 @@
     MayRun { deadline: Instant },
     /// The request is in flight, and its messages go to this session from now on.
     Moved { cancel_sender: mpsc::Sender<()> },
-    /// Another task queues the response for this session.
-    ResponseQueued,
     /// The response to send now.
     Answered(Message),
+    /// The cached response to send now.
+    Cached(CachedResponse),
 }
 
 async fn wait_until_closing(shutdown: &mut watch::Receiver<ShutdownPhase>) {
