--- a/src/backend/attempt.rs
+++ b/src/backend/attempt.rs
@@ -21,10 +21,14 @@
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// A stream that yields no complete event within this time counts as broken, even if bytes still arrive. Clients must
-/// learn of it within 5 s. A busy endpoint may pause for nearly as long, and such a stream must not be cut.
+/// A stream that yields no complete event within this time counts as broken, unless an event is still being written.
+/// Clients must learn of it within 5 s. A busy endpoint may pause for nearly as long, and such a stream must not be cut.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(4700);
 
+/// An event is being written as long as its next bytes arrive within this time. It is shorter than
+/// [`STREAM_IDLE_TIMEOUT`], so that a stream that stops within the event after its last one ends in time, too.
+const PARTIAL_EVENT_TIMEOUT: Duration = Duration::from_millis(3000);
+
 /// An offer to migrate that is not claimed within this time is withdrawn. Events wait during the offer, and no event
 /// may be delayed by 0.3 s.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(80);
@@ -109,6 +113,8 @@
     is_committed: Arc<AtomicBool>,
     events: EventSplitter,
     last_event_at: Instant,
+    /// When bytes of an incomplete event last arrived.
+    last_partial_event_at: Instant,
     /// The stream does not try to migrate before this time.
     next_migration_at: Instant,
     migration: MigrationSignal,
@@ -130,6 +136,7 @@
             is_committed: Arc::default(),
             events: EventSplitter::default(),
             last_event_at: Instant::now(),
+            last_partial_event_at: Instant::now(),
             next_migration_at: Instant::now(),
             migration,
             log,
@@ -144,6 +151,10 @@
         self.is_committed.store(true, Ordering::Relaxed);
         if let Some(last_event_at) = self.last_event_at.checked_sub(state.idle_for) {
             self.last_event_at = last_event_at;
+            // The other process does not tell when the last bytes of a partial event arrived.
+            if state.partial_event.is_empty() {
+                self.last_partial_event_at = last_event_at;
+            }
         }
         self
     }
@@ -160,16 +171,20 @@
     }
 
     /// Returns the output of `next`, or why the attempt ended before `next` completed. Before the first event
-    /// `deadline` applies. After it, each event must follow within `STREAM_IDLE_TIMEOUT`, and the attempt ends when
-    /// the client disconnects.
+    /// `deadline` applies. After it, each event must follow within `STREAM_IDLE_TIMEOUT`, or its bytes within
+    /// `PARTIAL_EVENT_TIMEOUT` of each other, and the attempt ends when the client disconnects.
     pub async fn next<T>(
         &self,
         deadline: Instant,
         next: impl Future<Output = T>,
     ) -> Result<T, EndReason> {
         let (limit, reason) = if self.has_started() {
-            let limit = self.last_event_at + STREAM_IDLE_TIMEOUT;
-            (limit, EndReason::StreamIdleTimeout)
+            let event_limit = self.last_event_at + STREAM_IDLE_TIMEOUT;
+            let partial_event_limit = self.last_partial_event_at + PARTIAL_EVENT_TIMEOUT;
+            (
+                event_limit.max(partial_event_limit),
+                EndReason::StreamIdleTimeout,
+            )
         } else {
             (deadline, EndReason::Timeout)
         };
@@ -257,7 +272,11 @@
         let events = self.events.push(data).map_err(|MalformedEvent| {
             self.log_abandoned("malformed event", EndReason::MalformedStream)
         })?;
-        self.send_chunk(events).await
+        self.send_chunk(events).await?;
+        if !data.is_empty() && self.events.is_within_event() {
+            self.last_partial_event_at = Instant::now();
+        }
+        Ok(())
     }
 
     async fn send_chunk(&mut self, data: Bytes) -> Result<(), EndReason> {
--- a/src/backend/event_stream.rs
+++ b/src/backend/event_stream.rs
@@ -17,6 +17,7 @@
     buffer: BytesMut,     // the bytes since the last event's end
     checked_bytes: usize, // the length of the buffer's lines that were validated
     has_started: bool,    // whether a line of the first event was read
+    has_field: bool,      // whether a line of the event that has begun was read
 }
 
 /// The field names of the event stream format.
@@ -28,6 +29,11 @@
     name.is_empty() || FIELD_NAMES.contains(&name) && std::str::from_utf8(line).is_ok()
 }
 
+/// Whether a valid line, or the beginning of one, is a field of an event and no comment.
+fn is_field_start(line: &[u8]) -> bool {
+    !line.is_empty() && line != b"\r" && !line.starts_with(b":")
+}
+
 /// Whether an incomplete line can still become a valid one.
 fn is_valid_line_start(line: &[u8]) -> bool {
     match line.iter().position(|byte| *byte == b':') {
@@ -51,6 +57,11 @@
         Bytes::copy_from_slice(&self.buffer)
     }
 
+    /// Returns whether an event has begun and not ended. Comments alone are no part of an event.
+    pub fn is_within_event(&self) -> bool {
+        self.has_field || is_field_start(self.unchecked())
+    }
+
     /// Returns the bytes that were not validated yet.
     fn unchecked(&self) -> &[u8] {
         &self.buffer[self.checked_bytes..]
@@ -62,13 +73,14 @@
         self.buffer.extend_from_slice(data);
         let mut complete_bytes = 0;
         while let Some(length) = self.unchecked().iter().position(|byte| *byte == b'\n') {
-            let line = &self.unchecked()[..length];
+            let line = &self.buffer[self.checked_bytes..][..length];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             let is_event_end = line.is_empty();
             if !is_event_end && !is_valid_line(line) {
                 return Err(MalformedEvent);
             }
-            self.has_started |= !is_event_end && !line.starts_with(b":");
+            self.has_started |= is_field_start(line);
+            self.has_field = !is_event_end && (self.has_field || is_field_start(line));
             self.checked_bytes += length + 1;
             if is_event_end && self.has_started {
                 complete_bytes = self.checked_bytes;
--- a/tests/malformed_streams.rs
+++ b/tests/malformed_streams.rs
@@ -166,6 +166,53 @@
     );
 }
 
+/// Guards against a long event that is cut because it is written slowly, although its bytes keep arriving.
+#[tokio::test(start_paused = true)]
+async fn a_long_event_that_is_written_slowly_is_not_cut() {
+    let endpoint = RawEndpoint::start().await;
+    let (commands, mut events) = start_backend(&[]);
+    commands.send(endpoint.start_attempt(1)).await.unwrap();
+    let mut stream = endpoint
+        .respond(format!("{STREAM_HEAD}{}", chunk(EVENT)).as_bytes())
+        .await;
+    let pieces = ["event: long\n", "data: ", "a", "b", "c", "\n", "\n"];
+    let write_slowly = async {
+        for piece in pieces {
+            tokio::time::sleep(Duration::from_millis(2_900)).await;
+            let _ = stream.write_all(chunk(piece).as_bytes()).await;
+        }
+        let _ = stream.write_all(b"0\r\n\r\n").await;
+    };
+    let (ended, ()) = tokio::join!(outcome(&mut events), write_slowly);
+    let expected = format!("{EVENT}{}", pieces.concat());
+    assert_eq!(ended, (AttemptStatus::Served, expected, true));
+}
+
+/// An endpoint begins an event, up to 1.7 s after the last one, and stops in it. The client must not wait for long.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_stops_within_an_event_is_a_reset_within_5_s_of_its_last_event() {
+    for pause_ms in [0, 400, 1_700] {
+        let endpoint = RawEndpoint::start().await;
+        let (commands, mut events) = start_backend(&[]);
+        commands.send(endpoint.start_attempt(1)).await.unwrap();
+        let mut stream = endpoint
+            .respond(format!("{STREAM_HEAD}{}", chunk(EVENT)).as_bytes())
+            .await;
+        let started_at = tokio::time::Instant::now();
+        let begin_event = async {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            stream.write_all(chunk("data: a").as_bytes()).await.unwrap();
+        };
+        let (ended, ()) = tokio::join!(outcome(&mut events), begin_event);
+        assert_eq!(ended, (AttemptStatus::Reset, EVENT.to_owned(), false));
+        let elapsed = started_at.elapsed();
+        assert!(
+            elapsed < Duration::from_secs(5),
+            "{pause_ms} ms: {elapsed:?}"
+        );
+    }
+}
+
 /// A busy endpoint may repeatedly be silent for seconds and then continue. Its stream must not be cut.
 #[tokio::test(start_paused = true)]
 async fn a_stream_with_4_6_s_between_events_is_not_cut() {
