--- a/src/frontend/client_socket.rs
+++ b/src/frontend/client_socket.rs
@@ -2,7 +2,8 @@
 //!
 //! hyper reads on only after it has consumed all bytes that it was given, and would otherwise not notice that the
 //! client has disconnected. So bytes that arrive after a request in flight are buffered here, and the end of the
-//! client's stream is detected here.
+//! client's stream is detected here. That end may lie behind more bytes than the buffers of both systems hold; so what
+//! arrives after a full buffer is discarded. Nothing that a client has sent after it is served then.
 //!
 //! hyper also serves connections on which another process has begun a response. The socket gives hyper a synthetic
 //! request, and discards the response head that hyper writes, because the other process has already sent one.
@@ -11,7 +12,7 @@
 use super::connection::ClientConnection;
 use super::discarded_head::DiscardedHead;
 use crate::upgrade::stream_migration::ConnectionState;
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::future::Future;
 use std::io;
@@ -32,12 +33,13 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The most bytes that are discarded while a connection lingers.
 const MAX_LINGER_BYTES: usize = 1 << 20;
-/// How often the connection is checked for a disconnect while the buffer for pipelined requests is full.
-const HANGUP_POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// How long the buffer for pipelined requests may be full before what follows is discarded. A client that waits for its
+/// responses in turn is not affected, as each frees the buffer.
+const FULL_BUFFER_TIMEOUT: Duration = Duration::from_millis(40);
 /// The most bytes per read after a request in flight.
 const PIPELINE_READ_BYTES: usize = 1024;
-/// The most bytes per read while a connection lingers.
-const LINGER_READ_BYTES: usize = 4096;
+/// The most bytes per read of what is discarded.
+const DISCARD_READ_BYTES: usize = 4096;
 
 /// The most response bytes that are buffered here for a slow client, to be handed over when its stream migrates. Any
 /// more stays with hyper, so that back-pressure reaches the endpoint.
@@ -65,8 +67,10 @@
     is_read_closed: bool,
     listener_state: ListenerState,
     linger: Option<Linger>,
-    /// The timer of the next check for a disconnect; set while `pipelined` is full.
-    hangup_check: Option<Pin<Box<Sleep>>>,
+    /// When reading goes on although `pipelined` is full; set while it is.
+    full_buffer_timer: Option<Pin<Box<Sleep>>>,
+    /// Set once bytes after those in `pipelined` were discarded, so that nothing that follows can be served.
+    has_discarded: bool,
 }
 
 impl ClientSocket {
@@ -84,7 +88,8 @@
             is_read_closed: false,
             listener_state,
             linger: None,
-            hangup_check: None,
+            full_buffer_timer: None,
+            has_discarded: false,
         }
     }
 
@@ -99,10 +104,15 @@
 
     /// Returns the state from which another process can resume the connection.
     fn state(&self) -> ConnectionState {
+        let pipelined = if self.has_discarded {
+            Bytes::new()
+        } else {
+            self.pipelined.clone().freeze()
+        };
         ConnectionState {
             unsent: self.unsent.clone().freeze(),
-            pipelined: self.pipelined.clone().freeze(),
-            closes_after_response: self.client.closes_after_response(),
+            pipelined,
+            closes_after_response: self.has_discarded || self.client.closes_after_response(),
         }
     }
 
@@ -136,19 +146,27 @@
         Poll::Ready(Ok(bytes.len()))
     }
 
-    /// Ready when the client has disconnected, even if bytes before that are unread. Checks at intervals.
+    /// Ready when the client has disconnected, even if bytes before that are unread. While `pipelined` stays full, discards
+    /// what follows: the client's end may not have arrived before those bytes are read.
     fn poll_hangup(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        loop {
-            if has_hung_up(&self.stream) {
-                self.is_read_closed = true;
-                return Poll::Ready(Ok(()));
-            }
-            let next_check = self
-                .hangup_check
-                .get_or_insert_with(|| Box::pin(sleep(HANGUP_POLL_INTERVAL)));
-            ready!(next_check.as_mut().poll(context));
-            self.hangup_check = None;
+        if has_hung_up(&self.stream) {
+            self.is_read_closed = true;
+            return Poll::Ready(Ok(()));
+        }
+        if !self.has_discarded {
+            let timer = self
+                .full_buffer_timer
+                .get_or_insert_with(|| Box::pin(sleep(FULL_BUFFER_TIMEOUT)));
+            ready!(timer.as_mut().poll(context));
+        }
+        while !self.is_read_closed {
+            let mut bytes = [MaybeUninit::uninit(); DISCARD_READ_BYTES];
+            let mut buffer = ReadBuf::uninit(&mut bytes);
+            ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
+            self.is_read_closed = buffer.filled().is_empty();
+            self.has_discarded = true;
         }
+        Poll::Ready(Ok(()))
     }
 
     /// Buffers bytes that arrive after a request in flight, up to the limit. Ready when the client has closed its
@@ -156,9 +174,10 @@
     fn poll_pipelined(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.is_read_closed {
             let room = READ_BUFFER_BYTES.saturating_sub(self.pipelined.len());
-            if room == 0 {
-                return self.poll_hangup(context); // reading resumes when the request is answered
+            if room == 0 || self.has_discarded {
+                return self.poll_hangup(context);
             }
+            self.full_buffer_timer = None;
             let mut bytes = [MaybeUninit::uninit(); PIPELINE_READ_BYTES];
             let mut buffer = ReadBuf::uninit(&mut bytes[..room.min(PIPELINE_READ_BYTES)]);
             ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer))?;
@@ -175,6 +194,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.client.is_upgraded() && has_hung_up(&self.stream) {
+            self.is_read_closed = true; // what the client has sent before its end is dropped
+            return Poll::Ready(Ok(()));
+        }
         let start = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         self.is_read_closed = buffer.filled().len() == start;
@@ -221,7 +244,7 @@
         if self.client.is_response_pending(context) {
             return self.poll_pipelined(context);
         }
-        if self.pipelined.is_empty() && !self.is_read_closed {
+        if self.pipelined.is_empty() && !self.is_read_closed && !self.has_discarded {
             return self.poll_stream(context, buffer);
         }
         self.read_pipelined(buffer);
@@ -295,7 +318,7 @@
             }
         };
         while !this.is_read_closed && linger.bytes_left > 0 {
-            let mut bytes = [MaybeUninit::uninit(); LINGER_READ_BYTES];
+            let mut bytes = [MaybeUninit::uninit(); DISCARD_READ_BYTES];
             let mut buffer = ReadBuf::uninit(&mut bytes);
             match Pin::new(&mut this.stream).poll_read(context, &mut buffer) {
                 Poll::Ready(Ok(())) => this.is_read_closed = buffer.filled().is_empty(),
--- a/src/frontend/connection.rs
+++ b/src/frontend/connection.rs
@@ -71,6 +71,8 @@
     closes_after_response: AtomicBool,
     /// Set while bytes of a further request, received after the one in flight, are buffered.
     has_pipelined: AtomicBool,
+    /// Set once the connection has become a WebSocket session.
+    is_upgraded: AtomicBool,
     /// Notified when a time limit may have changed.
     limits_changed: Notify,
     close_requested: Notify,
@@ -87,6 +89,7 @@
             migration_slot: SharedMigrationSlot::default(),
             closes_after_response: AtomicBool::new(false),
             has_pipelined: AtomicBool::new(false),
+            is_upgraded: AtomicBool::new(false),
             limits_changed: Notify::new(),
             close_requested: Notify::new(),
         })
@@ -139,6 +142,17 @@
         self.has_pipelined.store(has_pipelined, Ordering::Relaxed);
     }
 
+    /// Records that the connection has become a WebSocket session, so that no further request follows.
+    pub(super) fn set_upgraded(&self) {
+        self.is_upgraded.store(true, Ordering::Relaxed);
+        self.framing().stop();
+    }
+
+    /// Returns whether the connection has become a WebSocket session.
+    pub(super) fn is_upgraded(&self) -> bool {
+        self.is_upgraded.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a further response is due after the one in flight: a pipelined request that was read is
     /// answered, unless the connection closes first.
     fn must_answer_pipelined(&self) -> bool {
--- a/src/frontend/request_service.rs
+++ b/src/frontend/request_service.rs
@@ -150,7 +150,7 @@
             }
         };
         if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-            self.client.framing().stop();
+            self.client.set_upgraded();
         } else if self.listener_state.is_full() || self.listener_state.is_shutting_down() {
             set_connection_close(&mut response);
         }
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -357,6 +357,45 @@
     }
 }
 
+/// Guards against a client whose end is not noticed because it lies behind more bytes than the buffers of both systems
+/// hold. It arrives only if the bytes before it are read.
+#[tokio::test(start_paused = true)]
+async fn the_disconnect_of_a_client_that_sent_more_than_all_buffers_hold_is_noticed() {
+    let fleet = Fleet::start(false).await;
+    fleet.set_behavior(0, Behavior::Hang);
+    fleet.set_behavior(1, Behavior::Hang);
+    let request = format!("{HEAD}Content-Length: 2\r\n\r\n{{}}");
+    let mut client = send(&fleet.http_address, &request).await;
+    fleet
+        .wait_until("sent", |activity| activity.in_flight > 0)
+        .await;
+    let endless = GET.repeat(500_000);
+    let until_blocked = client.write_all(endless.as_bytes());
+    let is_blocked = timeout(Duration::from_millis(20), until_blocked).await;
+    assert!(is_blocked.is_err(), "all was taken");
+    drop(client);
+    fleet.assert_all_released().await;
+    assert_eq!(fleet.attempts_at(0) + fleet.attempts_at(1), 1);
+}
+
+/// A client that sends more requests than are buffered gets the responses to those that are, then the connection's end.
+#[tokio::test(start_paused = true)]
+async fn requests_beyond_the_buffer_are_not_served() {
+    let fleet = Fleet::start(false).await;
+    fleet.set_behavior(2, Behavior::Pause);
+    let request = format!("{HEAD}Content-Length: 2\r\n\r\n{{}}");
+    let mut client = send(&fleet.http_address, &request).await;
+    let first_event = read_until(&mut client, "\n\n\r\n").await;
+    assert!(first_event.starts_with("HTTP/1.1 200"), "{first_event}");
+    let requests = GET.repeat(2_000);
+    client.write_all(requests.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(60)).await;
+    fleet.resume.notify_waiters();
+    let responses = read_until(&mut client, "").await;
+    let served = responses.matches("HTTP/1.1 200").count();
+    assert!(served > 400 && served < 600, "{served}");
+}
+
 /// Pipelined requests are served one after the other, wherever their bytes are split, until the client's stream ends.
 #[tokio::test]
 async fn pipelined_requests_are_served_in_order() {
--- a/tests/websocket_sessions.rs
+++ b/tests/websocket_sessions.rs
@@ -2,7 +2,7 @@
 
 mod testbed;
 
-use futures_util::SinkExt;
+use futures_util::{FutureExt, SinkExt};
 use std::time::Duration;
 use testbed::{request_message, Behavior, Fleet, SessionClient, STREAM_EVENTS};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -174,6 +174,23 @@
     }
 }
 
+/// Guards against requests that are begun although their client has left before they were read.
+#[tokio::test]
+async fn requests_that_were_not_read_when_their_client_left_are_not_begun() {
+    let fleet = Fleet::start(false).await;
+    let mut client = SessionClient::connect(&fleet).await;
+    // Nothing else runs between the write and the close.
+    let message = request_message("gone", "return-request", 9000);
+    client.0.feed(Message::Text(message.into())).await.unwrap();
+    let flushed = client.0.flush().now_or_never();
+    assert!(flushed.is_some_and(|flushed| flushed.is_ok()));
+    drop(client);
+    let mut other = SessionClient::connect(&fleet).await;
+    other.send_request("other", "return-request", 9000).await;
+    assert_eq!(other.receive_response("other").await.0, "served");
+    assert_eq!(fleet.attempts_at(0) + fleet.attempts_at(1), 1);
+}
+
 #[tokio::test]
 async fn a_reconnect_is_not_a_new_attempt() {
     let fleet = Fleet::start(true).await;
