--- a/src/backend/attempt.rs
+++ b/src/backend/attempt.rs
@@ -5,6 +5,7 @@
 //! the stream has ended without an error.
 
 use super::event_stream::{EventSplitter, MalformedEvent};
+use super::unread_window::UnreadWindow;
 use crate::dispatcher::{
     DispatcherHandle, EndReason, Event, StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS,
 };
@@ -111,6 +112,8 @@
     /// The queue to the client's side; `None` before the first event.
     chunks: Option<mpsc::Sender<StreamChunk>>,
     is_committed: Arc<AtomicBool>,
+    /// The part of the stream that waits for the client.
+    unread: UnreadWindow,
     events: EventSplitter,
     last_event_at: Instant,
     /// When bytes of an incomplete event last arrived.
@@ -134,6 +137,7 @@
             key,
             chunks: None,
             is_committed: Arc::default(),
+            unread: UnreadWindow::new(),
             events: EventSplitter::default(),
             last_event_at: Instant::now(),
             last_partial_event_at: Instant::now(),
@@ -215,7 +219,7 @@
     /// Whether a chunk can be forwarded without waiting for the client.
     pub fn can_forward_now(&self) -> bool {
         let chunks = self.chunks.as_ref();
-        chunks.is_some_and(|chunks| chunks.capacity() > 0)
+        chunks.is_some_and(|chunks| chunks.capacity() > 0) && self.unread.is_free()
     }
 
     /// Offers the upstream connection for migration, queued after all chunks forwarded so far. Returns whether the
@@ -283,6 +287,10 @@
         if data.is_empty() {
             return Ok(());
         }
+        let data = tokio::select! {
+            data = self.unread.admit(data) => data,
+            () = self.client_disconnected() => return Err(EndReason::ClientDisconnected),
+        };
         let chunk = StreamChunk::Data(data);
         match &self.chunks {
             Some(chunks) => {
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -14,6 +14,7 @@
 mod reservation_release;
 mod tracked_connection;
 mod transport;
+mod unread_window;
 pub mod websocket;
 
 use crate::config::DispatcherLimits;
--- a/src/dispatcher/messages.rs
+++ b/src/dispatcher/messages.rs
@@ -50,6 +50,10 @@
 /// The capacity of a stream's queue, in chunks. While a slow client keeps it full, nothing is read from the endpoint.
 pub const MAX_QUEUED_CHUNKS: usize = 4;
 
+/// The most bytes of an answer that may wait for its client, in the stream's queue and in the frontend. While that much
+/// waits, nothing is read from the endpoint. A longer event waits alone.
+pub const MAX_UNREAD_BYTES: usize = 32 * 1024;
+
 /// The request of a received stream, which another process of this dispatcher started.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -26,7 +26,7 @@
 pub use self::handle::{channel, DispatcherHandle, EventReceiver, PendingRequest};
 pub use self::messages::{
     Command, DiscoveredEndpoint, DrainSchedule, Event, Outcome, Readiness, ReceivedAttempt,
-    ReceivedRequest, StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS,
+    ReceivedRequest, StreamChunk, UpstreamRequest, MAX_QUEUED_CHUNKS, MAX_UNREAD_BYTES,
 };
 pub use self::reasons::{CloseReason, EndReason, ReleaseReason};
 pub use self::rules::Rule;
--- a/src/frontend/admission.rs
+++ b/src/frontend/admission.rs
@@ -4,6 +4,7 @@
 //! ends. [`Admission`] knows the open connections; [`ListenerState`] is what they share.
 
 use super::connection::{ClientConnection, EVICTION_IDLE_TIME, EVICTION_SILENT_TIME};
+use super::memory_budget::ClientMemoryBudget;
 use super::ShutdownPhase;
 use crate::net::adjustable_semaphore::{AdjustableSemaphore, Permit};
 use crate::upgrade::stream_migration::MigrationSender;
@@ -22,6 +23,7 @@
     last_full_at: Arc<Mutex<Option<Instant>>>,
     shutdown: watch::Receiver<ShutdownPhase>,
     migration_sender: MigrationSender,
+    client_memory: ClientMemoryBudget,
 }
 
 impl ListenerState {
@@ -29,15 +31,22 @@
         connection_limit: AdjustableSemaphore,
         shutdown: watch::Receiver<ShutdownPhase>,
         migration_sender: MigrationSender,
+        client_memory: ClientMemoryBudget,
     ) -> Self {
         ListenerState {
             connection_limit,
             last_full_at: Arc::default(),
             shutdown,
             migration_sender,
+            client_memory,
         }
     }
 
+    /// Returns the budget for what is buffered of an answer until its stream has migrated.
+    pub(super) fn client_memory(&self) -> &ClientMemoryBudget {
+        &self.client_memory
+    }
+
     fn last_full_at(&self) -> MutexGuard<'_, Option<Instant>> {
         self.last_full_at
             .lock()
--- a/src/frontend/client_socket.rs
+++ b/src/frontend/client_socket.rs
@@ -11,6 +11,7 @@
 use super::admission::ListenerState;
 use super::connection::ClientConnection;
 use super::discarded_head::DiscardedHead;
+use super::memory_budget::{MemoryReservation, HEAD_BYTES};
 use crate::upgrade::stream_migration::ConnectionState;
 use bytes::{Buf, Bytes, BytesMut};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -27,7 +28,7 @@
 
 /// The size of a connection's read buffer. It bounds a request's head, and the bytes that are buffered after a request
 /// in flight.
-pub(super) const READ_BUFFER_BYTES: usize = 16 * 1024;
+pub(super) const READ_BUFFER_BYTES: usize = HEAD_BYTES;
 /// How long a connection lingers after its last response: what the client still sends is read and discarded. Closing a
 /// socket with unread bytes would reset the connection, and the client would lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -61,6 +62,8 @@
     pipelined: BytesMut,
     /// Response bytes that hyper has written and the socket has not accepted yet.
     unsent: BytesMut,
+    /// The memory of `unsent`; released when it is empty.
+    unsent_memory: Vec<MemoryReservation>,
     /// Set while the head of a resumed response is discarded.
     discarded_head: Option<DiscardedHead>,
     /// Whether the client has closed its sending side, so that nothing follows `pipelined`.
@@ -84,6 +87,7 @@
             client,
             pipelined: BytesMut::new(),
             unsent: BytesMut::new(),
+            unsent_memory: Vec::new(),
             discarded_head: None,
             is_read_closed: false,
             listener_state,
@@ -132,6 +136,10 @@
             }
             self.unsent.advance(written_bytes);
         }
+        if !self.unsent_memory.is_empty() {
+            self.unsent = BytesMut::new();
+            self.unsent_memory.clear();
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -142,6 +150,11 @@
         if !has_room || !self.listener_state.is_migration_due() {
             return Poll::Pending;
         }
+        let client_memory = self.listener_state.client_memory();
+        let Some(memory) = client_memory.try_reserve_for_migration(bytes.len()) else {
+            return Poll::Pending;
+        };
+        self.unsent_memory.push(memory);
         self.unsent.extend_from_slice(bytes);
         Poll::Ready(Ok(bytes.len()))
     }
--- a/src/frontend/http/mod.rs
+++ b/src/frontend/http/mod.rs
@@ -12,7 +12,7 @@
 use crate::config::Deployment;
 use crate::dispatcher::{DispatcherHandle, Outcome, UpstreamRequest};
 use crate::frontend::health_check::ready;
-use crate::frontend::memory_budget::BodyMemoryBudget;
+use crate::frontend::memory_budget::ClientMemoryBudget;
 use crate::frontend::request_body::{read_body, ArrivalsEnd, BodyError};
 use crate::upgrade::request_claims::{
     ClaimResult, Repeatability, RequestClaim, RequestClaims, RequestKey,
@@ -33,16 +33,16 @@
 #[derive(Clone)]
 struct HttpFrontend {
     dispatcher: DispatcherHandle,
-    body_memory: BodyMemoryBudget,
+    client_memory: ClientMemoryBudget,
     claims: RequestClaims,
     log: Logger,
 }
 
-/// Returns the routes for client requests and the readiness check. `body_memory` limits the memory for request bodies;
+/// Returns the routes for client requests and the readiness check. `client_memory` limits the memory for request bodies;
 /// `claims` tells which requests other processes of this dispatcher have.
 pub fn routes(
     dispatcher: DispatcherHandle,
-    body_memory: BodyMemoryBudget,
+    client_memory: ClientMemoryBudget,
     claims: RequestClaims,
     log: Logger,
 ) -> Router {
@@ -51,7 +51,7 @@
         .with_state(dispatcher.clone());
     let frontend = HttpFrontend {
         dispatcher,
-        body_memory,
+        client_memory,
         claims,
         log,
     };
@@ -150,7 +150,7 @@
     };
     let arrivals_end = head.extensions.get::<ArrivalsEnd>().cloned();
     let arrivals_end = arrivals_end.unwrap_or_default();
-    let body = match read_body(body, &frontend.body_memory, received_at, arrivals_end).await {
+    let body = match read_body(body, &frontend.client_memory, received_at, arrivals_end).await {
         Ok(body) => body,
         Err(error) => return body_error_response(&error, max_retry_after(&deployment)),
     };
--- a/src/frontend/listener.rs
+++ b/src/frontend/listener.rs
@@ -7,6 +7,7 @@
 use super::admission::{Admission, ListenerState};
 use super::connection::ClientConnection;
 use super::http::StreamResumer;
+use super::memory_budget::ClientMemoryBudget;
 use super::request_service::{serve_connection, ResumedConnection};
 use super::ShutdownPhase;
 use crate::net::adjustable_semaphore::{AdjustableSemaphore, Permit};
@@ -33,6 +34,8 @@
     pub resumer: Option<StreamResumer>,
     /// Whether new connections are accepted. Received streams are served even while this is false.
     pub accepts: watch::Receiver<bool>,
+    /// The budget for what is buffered of streams that are to migrate.
+    pub client_memory: ClientMemoryBudget,
 }
 
 impl MigrationChannels {
@@ -44,6 +47,7 @@
             received: mpsc::channel(1).1,
             resumer: None,
             accepts: watch::channel(true).1,
+            client_memory: ClientMemoryBudget::new(0),
         }
     }
 }
@@ -180,8 +184,14 @@
         mut received,
         resumer,
         mut accepts,
+        client_memory,
     } = channels;
-    let listener_state = ListenerState::new(connection_limit, shutdown.clone(), migration_sender);
+    let listener_state = ListenerState::new(
+        connection_limit,
+        shutdown.clone(),
+        migration_sender,
+        client_memory,
+    );
     let mut connections = ConnectionTasks {
         admission: Admission::new(listener_state),
         tasks: JoinSet::new(),
--- a/src/frontend/request_body.rs
+++ b/src/frontend/request_body.rs
@@ -1,10 +1,13 @@
 //! Reads the body of a request into reserved memory, within the time limits of its connection.
+//!
+//! Memory is reserved for what has arrived, not for what a head declares, so that a client that stops in a large body
+//! takes no more than it has sent.
 
-use super::memory_budget::{BodyMemoryBudget, MAX_BODY_BYTES};
+use super::memory_budget::{ClientMemoryBudget, MemoryReservation, MAX_BODY_BYTES};
 use super::ShutdownPhase;
 use axum::body::Body;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
@@ -13,6 +16,9 @@
 /// request's deadline, which the client chooses.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2200);
 
+/// By how much the memory for a body grows at a time.
+const BODY_STEP_BYTES: usize = 16 * 1024;
+
 /// Why a request's body was not read.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum BodyError {
@@ -52,40 +58,59 @@
     }
 }
 
-/// Reads a body into memory that is reserved for it. If the body has no declared length, memory for the longest
-/// accepted body is reserved. `received_at` is when the head was complete.
+/// Reads a body into memory that is reserved for it. `received_at` is when the head was complete.
 pub(super) async fn read_body(
     body: Body,
-    body_memory: &BodyMemoryBudget,
+    client_memory: &ClientMemoryBudget,
     received_at: Instant,
     arrivals_end: ArrivalsEnd,
 ) -> Result<Bytes, BodyError> {
     tokio::select! {
         biased;
-        read = read_until_timeout(body, body_memory, received_at + BODY_TIMEOUT) => read,
+        read = read_until_timeout(body, client_memory, received_at + BODY_TIMEOUT) => read,
         () = arrivals_end.wait() => Err(BodyError::ShuttingDown),
     }
 }
 
 async fn read_until_timeout(
-    body: Body,
-    body_memory: &BodyMemoryBudget,
+    mut body: Body,
+    client_memory: &ClientMemoryBudget,
     times_out_at: Instant,
 ) -> Result<Bytes, BodyError> {
-    let declared_bytes = http_body::Body::size_hint(&body)
-        .exact()
-        .unwrap_or(MAX_BODY_BYTES as u64);
+    let declared_bytes = http_body::Body::size_hint(&body).lower();
     if declared_bytes > MAX_BODY_BYTES as u64 {
         return Err(BodyError::TooLarge);
     }
-    let reserving = body_memory.reserve(declared_bytes as usize);
-    let Ok(Some(reservation)) = timeout_at(times_out_at, reserving).await else {
-        return Err(BodyError::NoMemory);
-    };
-    match timeout_at(times_out_at, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(reservation.attach(body.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Incomplete),
-        Err(_) => Err(BodyError::TimedOut),
+    let mut reservation = MemoryReservation::default();
+    let mut received = Vec::new();
+    loop {
+        let Ok(frame) = timeout_at(times_out_at, body.frame()).await else {
+            return Err(BodyError::TimedOut);
+        };
+        let data = match frame {
+            None => return Ok(reservation.attach(received.into())),
+            Some(Err(_)) => return Err(BodyError::Incomplete),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let length = received.len() + data.len();
+        if length > MAX_BODY_BYTES {
+            return Err(BodyError::TooLarge);
+        }
+        let reserving = client_memory.reserve_for_body(&mut reservation, length);
+        if timeout_at(times_out_at, reserving).await.is_err() {
+            return Err(BodyError::NoMemory);
+        }
+        append(&mut received, &data, declared_bytes as usize);
+    }
+}
+
+/// Appends data, and allocates at most [`BODY_STEP_BYTES`] ahead of what has arrived. Frames may be of a few bytes each.
+fn append(received: &mut Vec<u8>, data: &[u8], declared_bytes: usize) {
+    let length = received.len() + data.len();
+    if length > received.capacity() {
+        let rounded = length.next_multiple_of(BODY_STEP_BYTES);
+        let capacity = rounded.min(declared_bytes.max(length));
+        received.reserve_exact(capacity - received.len());
     }
+    received.extend_from_slice(data);
 }
--- a/src/frontend/websocket/idempotency_cache.rs
+++ b/src/frontend/websocket/idempotency_cache.rs
@@ -6,13 +6,21 @@
 use super::session_activity::AttachedSession;
 use crate::config::SessionConfig;
 use axum::extract::ws::Message;
+use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+/// A message for a session's socket, with the chunk of the answer that it was made from: the chunk counts as unread
+/// until the message is sent.
+pub(super) struct QueuedMessage {
+    pub(super) message: Message,
+    pub(super) _chunk: Option<Bytes>,
+}
+
 /// Queues messages for a session's socket.
-pub(super) type MessageSender = mpsc::Sender<Message>;
+pub(super) type MessageSender = mpsc::Sender<QueuedMessage>;
 
 /// Identifies a request. Client request ids are unique within a tenant.
 #[derive(Clone, PartialEq, Eq, Hash)]
--- a/src/frontend/websocket/mod.rs
+++ b/src/frontend/websocket/mod.rs
@@ -7,8 +7,10 @@
 //!
 //! [`SessionFrontend`] owns the state that sessions share; `session` runs one socket, and `request_task` one request.
 
+mod cacheable_text;
 mod idempotency_cache;
 mod messages;
+mod request_lookup;
 mod request_ownership;
 mod request_task;
 mod session;
@@ -20,9 +22,10 @@
 
 use crate::config::SessionConfig;
 use crate::dispatcher::DispatcherHandle;
-use crate::frontend::memory_budget::BodyMemoryBudget;
+use crate::frontend::memory_budget::ClientMemoryBudget;
 use crate::frontend::ShutdownPhase;
 use crate::identity::RequestIdGenerator;
+use crate::net::adjustable_semaphore::AdjustableSemaphore;
 use crate::upgrade::request_claims::RequestClaims;
 use axum::extract::ws::WebSocketUpgrade;
 use axum::extract::State;
@@ -57,9 +60,11 @@
 pub struct SessionFrontend {
     dispatcher: DispatcherHandle,
     config: Arc<SessionConfig>,
-    body_memory: BodyMemoryBudget,
+    client_memory: ClientMemoryBudget,
     cache: Arc<Mutex<IdempotencyCache>>,
     session_slots: Arc<Semaphore>,
+    /// The requests that all sessions together may have open.
+    request_slots: AdjustableSemaphore,
     sessions: Arc<Mutex<HashMap<u64, Arc<SessionActivity>>>>,
     /// The next session's key in `sessions`. Nothing outside this process sees it.
     next_session_number: Arc<AtomicU64>,
@@ -77,7 +82,7 @@
     pub fn new(
         dispatcher: DispatcherHandle,
         config: Arc<SessionConfig>,
-        body_memory: BodyMemoryBudget,
+        client_memory: ClientMemoryBudget,
         request_ids: RequestIdGenerator,
         claims: RequestClaims,
         shutdown: watch::Receiver<ShutdownPhase>,
@@ -85,9 +90,10 @@
     ) -> Self {
         SessionFrontend {
             dispatcher,
-            body_memory,
+            client_memory,
             cache: Arc::default(),
             session_slots: Arc::new(Semaphore::new(config.max_sessions)),
+            request_slots: AdjustableSemaphore::new(Semaphore::MAX_PERMITS),
             config,
             sessions: Arc::default(),
             next_session_number: Arc::default(),
@@ -98,6 +104,14 @@
         }
     }
 
+    /// Limits the requests that all sessions together may have open. Without this call there is no limit.
+    pub fn with_request_slots(self, request_slots: AdjustableSemaphore) -> Self {
+        SessionFrontend {
+            request_slots,
+            ..self
+        }
+    }
+
     /// Waits until all sessions are closed, without asking them to close: [`ShutdownPhase::Closing`] does that.
     /// Requests that outlive their session are not waited for.
     pub async fn wait_until_closed(&self) {
--- a/src/frontend/websocket/request_task.rs
+++ b/src/frontend/websocket/request_task.rs
@@ -3,18 +3,20 @@
 //! The task owns the request from its submission to its final message. Meanwhile the client may reconnect: the response
 //! then goes to another socket.
 
+use super::cacheable_text::CacheableText;
 use super::idempotency_cache::{FinalOutcome, RequestKey, RequestState};
 use super::messages::{take_complete_utf8, ServerMessage};
 use super::request_ownership::Ownership;
 use super::session_activity::AttachedSession;
 use super::SessionFrontend;
 use crate::dispatcher::{Outcome, PendingRequest, StreamChunk, UpstreamRequest};
+use crate::frontend::memory_budget::MemoryReservation;
+use crate::net::adjustable_semaphore::Permit;
 use crate::routing::api::{Idempotency, RequestClass, RequestMetadata};
 use crate::upgrade::request_claims::{ClaimEnd, RequestClaim};
 use axum::extract::ws::Message;
 use bytes::Bytes;
 use slog::debug;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
@@ -42,35 +44,17 @@
     /// Set while no socket is attached: the time until which a session may attach.
     pub(super) reattach_until: Option<Instant>,
     pub(super) response: CacheableText,
+    pub(super) _resources: RequestResources,
     /// Receives whether the last submission to the dispatcher may have run; `None` before the first one.
     pub(super) end_report: Option<oneshot::Receiver<bool>>,
 }
 
-/// The text of a response so far, as long as it is short enough to be cached.
-#[derive(Default)]
-pub(super) struct CacheableText {
-    text: String,
-    is_over_limit: bool,
-}
-
-impl CacheableText {
-    /// Appends to the text. Once the text exceeds the limit, nothing more is appended.
-    fn push(&mut self, text: &str, max_bytes: usize) {
-        if self.text.len() + text.len() > max_bytes {
-            self.is_over_limit = true;
-        }
-        if !self.is_over_limit {
-            self.text.push_str(text);
-        }
-    }
-
-    /// Returns the complete text; `None` if it exceeded the limit.
-    fn complete_text(&self) -> Option<Arc<str>> {
-        if self.is_over_limit {
-            return None;
-        }
-        Some(self.text.as_str().into())
-    }
+/// What a request holds of the limits that all sessions share, until its task ends.
+pub(super) struct RequestResources {
+    /// The memory for the part of the answer that the client has not read.
+    pub(super) _answer_memory: MemoryReservation,
+    /// Its place among the requests of all sessions.
+    pub(super) _slot: Permit,
 }
 
 /// How a submission of the request to the dispatcher ended.
@@ -352,7 +336,7 @@
                     return Some(FinalOutcome::Failed("the answer is not text"));
                 };
                 if !text.is_empty() {
-                    self.forward_text(&text).await;
+                    self.forward_text(&text, data).await;
                 }
                 None
             }
@@ -368,8 +352,10 @@
         }
     }
 
-    async fn forward_text(&mut self, text: &str) {
-        let sent = self.session.send(self.event(text)).await;
+    /// Forwards the text of a chunk.
+    async fn forward_text(&mut self, text: &str, chunk: Bytes) {
+        let event = self.event(text);
+        let sent = self.session.send_with_chunk(event, Some(chunk)).await;
         let max_cached_bytes = self.frontend.config.max_cached_response_bytes;
         self.response.push(text, max_cached_bytes);
         if sent.is_err() {
--- a/src/frontend/websocket/session.rs
+++ b/src/frontend/websocket/session.rs
@@ -3,12 +3,13 @@
 //! The session owns the socket. Its requests run in tasks of their own, which queue their messages here and may outlive
 //! the session for a short time.
 
+use super::cacheable_text::CacheableText;
 use super::idempotency_cache::{
-    CachedRequest, FinalOutcome, IdempotencyCache, InFlightRequest, MessageSender, RequestKey,
-    RequestState,
+    CachedRequest, InFlightRequest, MessageSender, QueuedMessage, RequestKey,
 };
 use super::messages::{parse, ClientMessage, ClientRequest, InvalidMessage, ServerMessage};
-use super::request_task::{CacheableText, RequestTask};
+use super::request_lookup::{CachedResponse, Lookup};
+use super::request_task::{RequestResources, RequestTask};
 use super::session_activity::{AttachedSession, OpenRequest, SessionActivity};
 use super::SessionFrontend;
 use crate::config::Deployment;
@@ -27,7 +28,7 @@
 const MAX_QUEUED_MESSAGES: usize = 32;
 /// The most repeated submissions of a request in flight that may wait for its task.
 const MAX_QUEUED_ATTACHMENTS: usize = 4;
-/// The retry delay for a request beyond the session's limit of requests in flight, or beyond the memory for bodies.
+/// The retry delay for a request beyond the session's limit of requests in flight, or beyond the memory for clients.
 const LIMIT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The most steps of a session, such as messages that it reads or sends, before other tasks have a turn.
 const MAX_STEPS_PER_TURN: u32 = 16;
@@ -41,6 +42,8 @@
 enum SessionStep {
     Continue,
     Send(Message),
+    /// Send a message of a request.
+    SendQueued(QueuedMessage),
     /// Send both messages of a cached response.
     SendCached(CachedResponse),
     /// Close with this code and this reason.
@@ -49,20 +52,14 @@
     Disconnect,
 }
 
-/// A response from the cache, as it is sent again.
-struct CachedResponse {
-    event: Message,
-    final_message: Message,
-}
-
 /// One session, which lasts as long as its socket.
 pub(super) struct Session {
-    frontend: SessionFrontend,
-    activity: Arc<SessionActivity>,
+    pub(super) frontend: SessionFrontend,
+    pub(super) activity: Arc<SessionActivity>,
     socket: WebSocket,
     message_sender: MessageSender,
     /// Messages from request tasks, to be sent on the socket.
-    queued_messages: mpsc::Receiver<Message>,
+    queued_messages: mpsc::Receiver<QueuedMessage>,
     /// Cancels the requests that this socket submitted, first or again, by client request id.
     cancel_senders: HashMap<String, mpsc::Sender<()>>,
     /// When the client last sent a message of any type; at first, when it connected.
@@ -116,6 +113,11 @@
                         return;
                     }
                 }
+                SessionStep::SendQueued(QueuedMessage { message, _chunk }) => {
+                    if !self.send(message).await {
+                        return;
+                    }
+                }
                 // Nothing more is read before the client has taken both, so that no more than one response waits.
                 SessionStep::SendCached(CachedResponse {
                     event,
@@ -145,7 +147,7 @@
         let activity = self.activity.clone();
         tokio::select! {
             biased;
-            Some(message) = self.queued_messages.recv() => SessionStep::Send(message),
+            Some(queued) = self.queued_messages.recv() => SessionStep::SendQueued(queued),
             () = wait_until_closing(shutdown), if !self.is_shutting_down => {
                 self.is_shutting_down = true;
                 SessionStep::Continue
@@ -281,9 +283,7 @@
             Lookup::Cached(response) => return SessionStep::SendCached(response),
         };
         // A request over a limit is not started, so that the same id may be submitted again.
-        let open_request = self.activity.try_open_request();
-        let memory = frontend.body_memory.try_reserve(body.len());
-        let (Some(open_request), Some(memory)) = (open_request, memory) else {
+        let Some((open_request, resources, body)) = self.try_acquire_resources(body) else {
             let shed = ServerMessage::Shed {
                 id: &key.client_request_id,
                 retry_after: LIMIT_RETRY_AFTER,
@@ -304,7 +304,8 @@
             key,
             class: deployment.settings.classes[metadata.class].clone(),
             metadata,
-            body: memory.attach(body),
+            body,
+            _resources: resources,
             deadline,
             session: self.attach(open_request),
             attachments,
@@ -317,83 +318,25 @@
         SessionStep::Continue
     }
 
+    /// Acquires what a new request needs, and ties the memory of the body to it. `None` at one of the limits.
+    fn try_acquire_resources(&self, body: Bytes) -> Option<(OpenRequest, RequestResources, Bytes)> {
+        let open_request = self.activity.try_open_request()?;
+        let client_memory = &self.frontend.client_memory;
+        let body_memory = client_memory.try_reserve_session_body(body.len())?;
+        let resources = RequestResources {
+            _answer_memory: client_memory.try_reserve_session_answer()?,
+            _slot: self.frontend.request_slots.try_acquire(1)?,
+        };
+        Some((open_request, resources, body_memory.attach(body)))
+    }
+
     /// Returns what a task needs to send the messages of this request to the session.
-    fn attach(&self, open_request: OpenRequest) -> AttachedSession {
+    pub(super) fn attach(&self, open_request: OpenRequest) -> AttachedSession {
         AttachedSession {
             message_sender: self.message_sender.clone(),
             _open_request: open_request,
         }
     }
-
-    /// Looks up a request in the cache, and attaches this session to its task if it is in flight.
-    fn look_up(&self, cache: &IdempotencyCache, key: &RequestKey, now: Instant) -> Lookup {
-        let Some(request) = cache.get(key) else {
-            return Lookup::Unknown;
-        };
-        let id = &key.client_request_id;
-        let deadline = request.deadline;
-        let response = match &request.state {
-            RequestState::InFlight(in_flight) => {
-                let session = self.attach(self.activity.open_request());
-                if in_flight.attachment_sender.try_send(session).is_ok() {
-                    debug!(self.frontend.log, "request moved to another session"; "client_request_id" => id,
-                        "open_requests" => self.activity.open_requests());
-                    return Lookup::Moved {
-                        cancel_sender: in_flight.cancel_sender.clone(),
-                    };
-                }
-                // The task has not yet answered the sessions that attached before, and its queue is full. This is not a
-                // final message, as the request is still in flight.
-                ServerMessage::Error {
-                    id: Some(id),
-                    reason: "asked too often",
-                }
-            }
-            RequestState::Finished(FinalOutcome::Served(None) | FinalOutcome::ServedElsewhere) => {
-                ServerMessage::ServedBefore {
-                    id,
-                    has_text: false,
-                }
-            }
-            RequestState::Finished(FinalOutcome::Served(Some(text))) => {
-                return Lookup::Cached(CachedResponse {
-                    event: ServerMessage::Event { id, data: text }.to_message(),
-                    final_message: ServerMessage::ServedBefore { id, has_text: true }.to_message(),
-                });
-            }
-            RequestState::Finished(FinalOutcome::Failed(reason)) => {
-                ServerMessage::Failed { id, reason }
-            }
-            RequestState::Finished(FinalOutcome::Shed { retry_at })
-                if now < *retry_at || now >= deadline =>
-            {
-                let retry_after = retry_at.saturating_duration_since(now);
-                ServerMessage::Shed { id, retry_after }
-            }
-            RequestState::Abandoned if now >= deadline => ServerMessage::Failed {
-                id,
-                reason: "its deadline has passed",
-            },
-            RequestState::Finished(FinalOutcome::Shed { .. }) | RequestState::Abandoned => {
-                return Lookup::MayRun { deadline };
-            }
-        };
-        Lookup::Answered(response.to_message())
-    }
-}
-
-/// What the cache knows about a request that is submitted.
-enum Lookup {
-    /// The request was not submitted before, or is no longer cached.
-    Unknown,
-    /// The request was submitted before and may run again. Its first deadline stays in force.
-    MayRun { deadline: Instant },
-    /// The request is in flight, and its messages go to this session from now on.
-    Moved { cancel_sender: mpsc::Sender<()> },
-    /// The response to send now.
-    Answered(Message),
-    /// The cached response to send now.
-    Cached(CachedResponse),
 }
 
 async fn wait_until_closing(shutdown: &mut watch::Receiver<ShutdownPhase>) {
--- a/src/frontend/websocket/session_activity.rs
+++ b/src/frontend/websocket/session_activity.rs
@@ -4,8 +4,9 @@
 //! A request counts at the session to which its messages go, from its submission there until its final message is queued or
 //! it has moved to another session. A session closes of its own accord only while it has no request.
 
-use super::idempotency_cache::MessageSender;
+use super::idempotency_cache::{MessageSender, QueuedMessage};
 use axum::extract::ws::Message;
+use bytes::Bytes;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::error::SendError;
@@ -113,8 +114,21 @@
     /// # Errors
     ///
     /// Returns the message if the session has closed.
-    pub(super) async fn send(&self, message: Message) -> Result<(), SendError<Message>> {
-        self.message_sender.send(message).await
+    pub(super) async fn send(&self, message: Message) -> Result<(), SendError<QueuedMessage>> {
+        self.send_with_chunk(message, None).await
+    }
+
+    /// Does the same as [`AttachedSession::send`] with the chunk of the answer that the message was made from.
+    pub(super) async fn send_with_chunk(
+        &self,
+        message: Message,
+        chunk: Option<Bytes>,
+    ) -> Result<(), SendError<QueuedMessage>> {
+        let queued = QueuedMessage {
+            message,
+            _chunk: chunk,
+        };
+        self.message_sender.send(queued).await
     }
 
     /// Waits until the session has closed.
--- a/src/process/frontends.rs
+++ b/src/process/frontends.rs
@@ -9,10 +9,12 @@
 use crate::config::SessionBudget;
 use crate::dispatcher::DispatcherHandle;
 use crate::frontend::listener::MigrationChannels;
+use crate::frontend::memory_budget::ClientMemoryBudget;
 use crate::frontend::{health_check, http, listener, websocket, ShutdownPhase};
 use crate::identity::RequestIdGenerator;
 use crate::net::adjustable_semaphore::AdjustableSemaphore;
 use crate::upgrade::request_claims::RequestClaims;
+use axum::Router;
 use slog::Logger;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -45,6 +47,7 @@
         self,
         dispatcher: DispatcherHandle,
         claims: RequestClaims,
+        client_memory: ClientMemoryBudget,
         accepts: watch::Receiver<bool>,
     ) -> MigrationChannels {
         let resumer = http::StreamResumer {
@@ -57,6 +60,7 @@
             received: self.received,
             resumer: Some(resumer),
             accepts,
+            client_memory,
         }
     }
 }
@@ -83,12 +87,16 @@
         let mut tasks = JoinSet::new();
         let routes = http::routes(
             dispatcher.clone(),
-            limits.body_memory.clone(),
+            limits.client_memory.clone(),
             request_claims.clone(),
             log.clone(),
         );
-        let streams =
-            streams.into_migration_channels(dispatcher.clone(), request_claims.clone(), accepts);
+        let streams = streams.into_migration_channels(
+            dispatcher.clone(),
+            request_claims.clone(),
+            limits.client_memory.clone(),
+            accepts,
+        );
         tasks.spawn(listener::serve_with_migration(
             client_listener,
             routes,
@@ -100,22 +108,19 @@
         let sessions = websocket::SessionFrontend::new(
             dispatcher.clone(),
             Arc::new(session_budget.config),
-            limits.body_memory,
+            limits.client_memory,
             request_ids,
             request_claims,
             phase.clone(),
             log.clone(),
-        );
+        )
+        .with_request_slots(limits.session_requests);
         if let Some(listener) = session_listener {
             let health_checks = health_check::routes(dispatcher.clone());
             let routes = websocket::routes(sessions.clone()).merge(health_checks);
             let connections = AdjustableSemaphore::new(session_budget.handshake_sockets);
             let (phase, log) = (phase.clone(), log.clone());
-            tasks.spawn(async move {
-                if let Some(listener) = listener.wait_until_bound(phase.clone()).await {
-                    listener::serve(listener, routes, connections, phase, log).await;
-                }
-            });
+            tasks.spawn(serve_sessions(listener, routes, connections, phase, log));
         }
         if let Some(listener) = agent_listener {
             tasks.spawn(serve_agent_checks(listener, dispatcher, phase, log));
@@ -151,6 +156,19 @@
     }
 }
 
+/// Serves sessions as soon as their address can be bound. `connections` limits those whose handshake is not complete.
+async fn serve_sessions(
+    listener: DeferredListener,
+    routes: Router,
+    connections: AdjustableSemaphore,
+    phase: watch::Receiver<ShutdownPhase>,
+    log: Logger,
+) {
+    if let Some(listener) = listener.wait_until_bound(phase.clone()).await {
+        listener::serve(listener, routes, connections, phase, log).await;
+    }
+}
+
 /// Serves agent checks as soon as their address can be bound.
 async fn serve_agent_checks(
     listener: DeferredListener,
--- a/tests/http_frontend.rs
+++ b/tests/http_frontend.rs
@@ -4,7 +4,7 @@
 
 use quartzhall::config::{Deployment, SettingsObject};
 use quartzhall::dispatcher::{self, DrainSchedule, Event, Outcome, Readiness, StreamChunk};
-use quartzhall::frontend::memory_budget::BodyMemoryBudget;
+use quartzhall::frontend::memory_budget::ClientMemoryBudget;
 use quartzhall::frontend::{http, listener, ShutdownPhase};
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
 use quartzhall::upgrade::request_claims::RequestClaims;
@@ -137,6 +137,33 @@
 }
 
 /// A chunked body reaches the endpoint complete, with its length declared.
+/// Guards against clients that stop in large bodies and hold the memory for all that they have declared, so that others
+/// wait up to the time limit of a body.
+#[tokio::test(start_paused = true)]
+async fn bodies_that_stop_half_way_hold_up_no_other_client() {
+    let fleet = Fleet::start(false).await;
+    let mut stopped = Vec::new();
+    for number in 0..45 {
+        let mut client = Client(TcpStream::connect(&fleet.http_address).await.unwrap());
+        let head = request(&format!("stopped-{number}"))
+            .replace("Content-Length: 2", "Content-Length: 262144");
+        client
+            .write(&head.replace("{}", &"x".repeat(128 * 1024)))
+            .await;
+        stopped.push(client);
+    }
+    let started_at = tokio::time::Instant::now();
+    let mut client = Client(TcpStream::connect(&fleet.http_address).await.unwrap());
+    client.write(&request("small")).await;
+    let response = client.read_until("0\r\n\r\n").await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let elapsed = started_at.elapsed();
+    assert!(
+        elapsed < std::time::Duration::from_millis(300),
+        "{elapsed:?}"
+    );
+}
+
 #[tokio::test]
 async fn a_chunked_body_is_served() {
     let fleet = Fleet::start(false).await;
@@ -333,7 +360,7 @@
     let (_shutdown_sender, shutdown) = watch::channel(ShutdownPhase::Serving);
     let routes = http::routes(
         dispatcher_handle,
-        BodyMemoryBudget::new(1_000),
+        ClientMemoryBudget::new(1_000),
         RequestClaims::disabled(),
         log.clone(),
     );
--- a/tests/received_streams.rs
+++ b/tests/received_streams.rs
@@ -11,7 +11,7 @@
 use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle, DrainSchedule, Event};
 use quartzhall::frontend::http::StreamResumer;
 use quartzhall::frontend::listener::{self, MigrationChannels};
-use quartzhall::frontend::memory_budget::BodyMemoryBudget;
+use quartzhall::frontend::memory_budget::ClientMemoryBudget;
 use quartzhall::frontend::{http, ShutdownPhase};
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
 use quartzhall::net::message_framing::ChunkedDecoder;
@@ -50,10 +50,15 @@
     listener_task: JoinHandle<()>,
 }
 
+fn deployment() -> Arc<Deployment> {
+    let settings: SettingsObject = json::from_str(testbed::SETTINGS).unwrap();
+    Arc::new(Deployment::new(&settings).unwrap())
+}
+
 fn routes(dispatcher: &DispatcherHandle, log: &Logger) -> Router {
     http::routes(
         dispatcher.clone(),
-        BodyMemoryBudget::new(1_000),
+        ClientMemoryBudget::new(1_000),
         RequestClaims::disabled(),
         log.clone(),
     )
@@ -62,8 +67,7 @@
 impl ReceivingProcess {
     async fn start() -> ReceivingProcess {
         let log = Logger::root(Discard, o!());
-        let settings: SettingsObject = json::from_str(testbed::SETTINGS).unwrap();
-        let deployment = Arc::new(Deployment::new(&settings).unwrap());
+        let deployment = deployment();
         let clock = Clock::start();
         let (dispatcher, events) = dispatcher::channel(deployment.clone());
         let core = Core::new(deployment.clone(), 100, 7, clock.now(), log.clone());
@@ -100,6 +104,7 @@
             }),
             // The listener does not accept new connections, as in a process that is not serving yet.
             accepts: watch::channel(false).1,
+            client_memory: ClientMemoryBudget::new(1_000),
         };
         let clients = AdjustableSemaphore::new(MAX_CONNECTIONS);
         let listener_task = tokio::spawn(listener::serve_with_migration(
--- a/tests/testbed/mod.rs
+++ b/tests/testbed/mod.rs
@@ -12,7 +12,7 @@
 use miniserde::json;
 use quartzhall::config::{Deployment, EndpointList, SessionConfig, SettingsObject};
 use quartzhall::dispatcher::{self, Clock, Core, DispatcherHandle, DrainSchedule, Event};
-use quartzhall::frontend::memory_budget::BodyMemoryBudget;
+use quartzhall::frontend::memory_budget::ClientMemoryBudget;
 use quartzhall::frontend::{admin, health_check, http, listener, websocket, ShutdownPhase};
 use quartzhall::identity::ProcessIdentity;
 use quartzhall::net::adjustable_semaphore::AdjustableSemaphore;
@@ -139,7 +139,7 @@
         let session_config = r#"{"most_sessions":4,"most_message":4000,"reattach_ms":200,"most_requests":8,"record_text":4000}"#;
         let session_config = Arc::new(SessionConfig::parse(session_config).unwrap());
         let (listener, websocket_address) = bind().await;
-        let memory_budget = BodyMemoryBudget::new(10_000);
+        let memory_budget = ClientMemoryBudget::new(10_000);
         let session_frontend = websocket::SessionFrontend::new(
             dispatcher.clone(),
             session_config,
