--- a/tests/request_claims.rs
+++ b/tests/request_claims.rs
@@ -307,6 +307,51 @@
     assert_eq!(decode_attempts(&setup.upgrade), 1);
 }
 
+#[tokio::test]
+async fn session_requests_before_their_first_event_do_not_run_twice() {
+    const COUNT: usize = 20;
+    let setup = SessionSetup::new("claims-session-many").await;
+    let predecessor = setup.upgrade.start_process().await;
+    set_behavior(&setup.upgrade, DECODE_REPLICAS, Behavior::Hang);
+    let ids: Vec<String> = (0..COUNT).map(|number| format!("many-{number}")).collect();
+    let mut client = setup.connect().await;
+    for id in &ids {
+        client.send_request(id, "return-request", 9000).await;
+    }
+    wait_for_decode_attempts(&setup.upgrade, COUNT).await;
+    let _successor = hand_over(&setup.upgrade, &predecessor).await;
+    set_behavior(&setup.upgrade, DECODE_REPLICAS, Behavior::Serve);
+    drop(client);
+    let mut client = setup.connect().await;
+    for id in &ids {
+        client.send_request(id, "return-request", 9000).await;
+    }
+    for _ in &ids {
+        let (kind, message) = client.receive().await;
+        assert_eq!(kind, "failed", "{message}");
+    }
+    assert_eq!(decode_attempts(&setup.upgrade), COUNT);
+}
+
+/// The predecessor gives the request up before the upgrade begins.
+#[tokio::test]
+async fn session_request_that_ended_while_its_terminal_was_away_does_not_run_twice() {
+    let setup = SessionSetup::new("claims-session-away").await;
+    let predecessor = setup.upgrade.start_process().await;
+    set_behavior(&setup.upgrade, DECODE_REPLICAS, Behavior::Pause);
+    let mut client = setup.connect().await;
+    start_stream(&mut client, "away").await;
+    drop(client);
+    let has_ended = |activity: &testbed::ReplicaActivity| activity.in_flight == 0;
+    setup.upgrade.fleet.wait_until("the end", has_ended).await;
+    let _successor = hand_over(&setup.upgrade, &predecessor).await;
+    set_behavior(&setup.upgrade, DECODE_REPLICAS, Behavior::Serve);
+    let mut client = setup.connect().await;
+    let (kind, message) = final_message(&mut client, "away", "return-request").await;
+    assert_eq!(kind, "failed", "{message}");
+    assert_eq!(decode_attempts(&setup.upgrade), 1);
+}
+
 #[tokio::test]
 async fn session_request_that_waits_at_the_predecessor_is_served_once_by_the_successor() {
     let setup = SessionSetup::new("claims-session-waits").await;
